--- /dev/null
+++ b/cmd/fuchsiastile/demo.go
@@ -0,0 +1,140 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"github.com/fuchsiastile/fuchsiastile/examples"
+	"github.com/fuchsiastile/fuchsiastile/internal/emulator"
+	"github.com/fuchsiastile/fuchsiastile/internal/generator"
+	"github.com/fuchsiastile/fuchsiastile/internal/loader"
+	"github.com/fuchsiastile/fuchsiastile/internal/stager"
+	"github.com/fuchsiastile/fuchsiastile/pkg/caller"
+	"github.com/fuchsiastile/fuchsiastile/pkg/declarer"
+)
+
+const (
+	// demoStart bounds the time until the demo's daemons are ready.
+	demoStart = 30 * time.Second
+	// demoSpan and demoRate are the load that the demo makes.
+	demoSpan = 3 * time.Second
+	demoRate = 30
+)
+
+type demoCommand struct {
+	once bool
+	json bool
+}
+
+func (*demoCommand) Name() string { return "demo" }
+func (*demoCommand) Synopsis() string {
+	return "run a whole site with stand-ins in one process"
+}
+
+func (*demoCommand) Usage() string {
+	return "demo [-once] [-json]\n\nStarts a stand-in platform, the searchers of the Olwyn deployment in three failure\n" +
+		"domains and three daemons, asks queries and prints answers, coverage and latency.\nThen it stays up until interrupted, unless told -once.\n\n"
+}
+
+func (c *demoCommand) SetFlags(f *flag.FlagSet) {
+	f.BoolVar(&c.once, "once", false, "end after the queries; exit with 1 unless every answer had full coverage")
+	f.BoolVar(&c.json, "json", false, "print the summary in JSON")
+}
+
+func (c *demoCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	declarations, err := declarer.ParseDeclarations("examples/olwyn.jsonc", examples.Olwyn)
+	if err != nil {
+		return fail(err)
+	}
+	starting, cancel := context.WithTimeout(ctx, demoStart)
+	defer cancel()
+	stage, err := stager.New(starting, stager.Config{
+		Site:         emulator.OlwynSite(1),
+		Declarations: declarations,
+		Policy:       loader.Default().Policy,
+	})
+	if err != nil {
+		return fail(err)
+	}
+	defer stage.Close()
+	full, err := c.show(ctx, stage)
+	if err != nil {
+		return fail(err)
+	}
+	if !c.once {
+		c.stay(stage)
+		return subcommands.ExitSuccess
+	}
+	if !full {
+		return fail(fmt.Errorf("not every answer had full coverage"))
+	}
+	return subcommands.ExitSuccess
+}
+
+// show asks queries and prints what came back.
+func (c *demoCommand) show(ctx context.Context, stage *stager.Stage) (bool, error) {
+	search := caller.Request{Service: "parts-finder", Class: "counter", Tenant: "olwyn", Body: []byte(`{"q":"pram wheel"}`)}
+	booking := caller.Request{Service: "bookings", Class: "booking", Tenant: "olwyn", Key: "order-1", Body: []byte(`{"order":1}`)}
+	client := stage.Client(0)
+	answer, err := client.Search(ctx, search)
+	if err != nil {
+		return false, err
+	}
+	if !c.json {
+		fmt.Println("a search of parts-finder:")
+		printAnswer(answer)
+	}
+	if booking.Ticket, err = client.Ticket(ctx); err != nil {
+		return false, err
+	}
+	for n := range stage.Daemons {
+		answer, err := stage.Client(n).Once(ctx, booking)
+		if err != nil {
+			return false, err
+		}
+		if !c.json {
+			fmt.Printf("a booking through daemon %d, replayed %v:\n", n, answer.Replayed)
+			printAnswer(answer)
+		}
+	}
+	return c.load(ctx, stage, search)
+}
+
+func (c *demoCommand) load(ctx context.Context, stage *stager.Stage, search caller.Request) (bool, error) {
+	clients := make([]*caller.Client, len(stage.Daemons))
+	for n := range stage.Daemons {
+		clients[n] = stage.Client(n)
+	}
+	reports := generator.Run(ctx, clients, []generator.Stream{{Request: search, Rate: demoRate}}, demoSpan, 1)
+	if c.json {
+		printJSON(reports)
+	}
+	full := true
+	for _, r := range reports {
+		full = full && r.Full == r.Asked
+		if !c.json {
+			fmt.Printf("%d searches at %d/s: p50 %.1f ms, p99 %.1f ms, mean coverage %.4f, %d full, extra load %.2f%%\n",
+				r.Asked, demoRate, r.P50, r.P99, r.Coverage, r.Full, 100*r.ExtraLoad)
+		}
+	}
+	return full, nil
+}
+
+// stay waits for an interrupt and tells where the daemons listen.
+func (c *demoCommand) stay(stage *stager.Stage) {
+	fmt.Println("platform:", stage.PlatformURL)
+	for _, d := range stage.Daemons {
+		s := d.Settings()
+		fmt.Printf("%s: callers %s, operators %s\n", s.Name, s.Callers, s.Operators)
+	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	<-signals
+}
--- /dev/null
+++ b/cmd/fuchsiastile/main.go
@@ -0,0 +1,42 @@
+// Command fuchsiastile is the query tier's daemon and its operators' tool.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+
+	"github.com/google/subcommands"
+	"k8s.io/klog/v2"
+)
+
+func main() {
+	klog.InitFlags(nil)
+	subcommands.Register(subcommands.HelpCommand(), "")
+	subcommands.Register(subcommands.CommandsCommand(), "")
+	subcommands.Register(subcommands.FlagsCommand(), "")
+	subcommands.Register(&serveCommand{}, "daemon")
+	subcommands.Register(&demoCommand{}, "daemon")
+	subcommands.Register(&checkCommand{}, "operators")
+	subcommands.Register(&applyCommand{}, "operators")
+	subcommands.Register(&diffCommand{}, "operators")
+	subcommands.Register(&getCommand{}, "operators")
+	subcommands.Register(&labelCommand{}, "operators")
+	subcommands.Register(&statusCommand{}, "operators")
+	subcommands.Register(&queryCommand{}, "callers")
+	flag.Parse()
+	os.Exit(int(subcommands.Execute(context.Background())))
+}
+
+// fail prints an error and returns the exit status of a failure.
+func fail(err error) subcommands.ExitStatus {
+	fmt.Fprintln(os.Stderr, "fuchsiastile:", err)
+	return subcommands.ExitFailure
+}
+
+// misuse prints what is wrong with the arguments and returns the exit status for that.
+func misuse(what string) subcommands.ExitStatus {
+	fmt.Fprintln(os.Stderr, "fuchsiastile:", what)
+	return subcommands.ExitUsageError
+}
--- /dev/null
+++ b/cmd/fuchsiastile/serve.go
@@ -0,0 +1,53 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/google/subcommands"
+
+	"github.com/fuchsiastile/fuchsiastile/internal/daemon"
+	"github.com/fuchsiastile/fuchsiastile/internal/dialer"
+	"github.com/fuchsiastile/fuchsiastile/internal/loader"
+)
+
+type serveCommand struct {
+	settings string
+}
+
+func (*serveCommand) Name() string     { return "serve" }
+func (*serveCommand) Synopsis() string { return "run the daemon" }
+func (*serveCommand) Usage() string {
+	return "serve -settings FILE\n\nRuns the daemon until it is interrupted, then stops gracefully.\n\n"
+}
+
+func (c *serveCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.settings, "settings", "", "settings `file`, JSON with comments")
+}
+
+func (c *serveCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	if c.settings == "" {
+		return misuse("serve: -settings is missing")
+	}
+	settings, err := loader.Load(c.settings)
+	if err != nil {
+		return fail(err)
+	}
+	d, err := daemon.New(settings, dialer.System())
+	if err != nil {
+		return fail(err)
+	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-signals
+		d.Stop()
+	}()
+	if err := d.Run(); err != nil {
+		return fail(err)
+	}
+	return subcommands.ExitSuccess
+}
--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,132 @@
+// Command standin runs the stand-ins that tests and trials of fuchsiastile
+// need as processes of their own: platform, searcher and load.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"github.com/fuchsiastile/fuchsiastile/internal/emulator"
+	"github.com/fuchsiastile/fuchsiastile/internal/generator"
+	"github.com/fuchsiastile/fuchsiastile/pkg/caller"
+)
+
+func main() {
+	subcommands.Register(subcommands.HelpCommand(), "")
+	subcommands.Register(subcommands.FlagsCommand(), "")
+	subcommands.Register(&platformCommand{}, "")
+	subcommands.Register(&searcherCommand{}, "")
+	subcommands.Register(&loadCommand{}, "")
+	flag.Parse()
+	os.Exit(int(subcommands.Execute(context.Background())))
+}
+
+func fail(err error) subcommands.ExitStatus {
+	fmt.Fprintln(os.Stderr, "standin:", err)
+	return subcommands.ExitFailure
+}
+
+type platformCommand struct{ listen string }
+
+func (*platformCommand) Name() string     { return "platform" }
+func (*platformCommand) Synopsis() string { return "run a stand-in for the Object API and the VM list" }
+
+func (*platformCommand) Usage() string {
+	return "platform [-listen ADDRESS]\n\nPUT /faults switches faults, PUT /vms/NAME lists a VM, GET /calls counts calls.\n\n"
+}
+
+func (c *platformCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.listen, "listen", "127.0.0.1:9000", "`address` to listen on")
+}
+
+func (c *platformCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	server := &http.Server{Addr: c.listen, Handler: emulator.NewPlatform().Handler(), ReadHeaderTimeout: time.Minute}
+	return fail(server.ListenAndServe())
+}
+
+type searcherCommand struct {
+	listen   string
+	config   emulator.SearcherConfig
+	snapshot string
+	shards   string
+}
+
+func (*searcherCommand) Name() string     { return "searcher" }
+func (*searcherCommand) Synopsis() string { return "run a stand-in backend server" }
+func (*searcherCommand) Usage() string {
+	return "searcher [-listen ADDRESS] [-snapshot NAME] [-shards NAMES]\n\nPUT /faults switches faults, PUT /drain starts to leave, GET /facts tells what ran.\n\n"
+}
+
+func (c *searcherCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.listen, "listen", "127.0.0.1:9100", "`address` to listen on")
+	f.StringVar(&c.snapshot, "snapshot", emulator.FirstSnapshot, "`name` of the snapshot that is held")
+	f.StringVar(&c.shards, "shards", emulator.ShardName(0), "comma-separated `names` of the shards that are held")
+	f.IntVar(&c.config.Slots, "slots", 5, "`requests` that run at once")
+	f.IntVar(&c.config.QueueLimit, "queue", 20, "`requests` that wait before the rest is shed")
+	f.IntVar(&c.config.ConnectionLimit, "connections", 90, "`connections` that are kept")
+	f.Float64Var(&c.config.ConnectionCostMillis, "connectionCost", 6, "`milliseconds` that a new connection costs")
+	f.Float64Var(&c.config.ServiceMillis, "service", 4, "median `milliseconds` of a request")
+	f.Uint64Var(&c.config.Seed, "seed", 1, "`seed` of the service times")
+}
+
+func (c *searcherCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	c.config.Holdings = map[string][]string{c.snapshot: strings.Split(c.shards, ",")}
+	l, err := net.Listen("tcp", c.listen)
+	if err != nil {
+		return fail(err)
+	}
+	return fail(emulator.NewSearcher(c.config).Serve(l))
+}
+
+type loadCommand struct {
+	daemons string
+	stream  generator.Stream
+	span    time.Duration
+	seed    uint64
+}
+
+func (*loadCommand) Name() string     { return "load" }
+func (*loadCommand) Synopsis() string { return "make open-loop load and print a report in JSON" }
+func (*loadCommand) Usage() string {
+	return "load -daemons ADDRESSES -service NAME -class NAME [-rate N] [-for SPAN] [-once]\n\n"
+}
+
+func (c *loadCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.daemons, "daemons", "127.0.0.1:7000", "comma-separated callers' `addresses`")
+	f.StringVar(&c.stream.Request.Service, "service", "", "`name` of the service")
+	f.StringVar(&c.stream.Request.Class, "class", "", "`name` of the class")
+	f.StringVar(&c.stream.Request.Tenant, "tenant", "", "`name` of the tenant")
+	f.Float64Var(&c.stream.Rate, "rate", 50, "`requests` per second")
+	f.BoolVar(&c.stream.Once, "once", false, "make non-idempotent requests")
+	f.DurationVar(&c.span, "for", 10*time.Second, "`time` to run")
+	f.Uint64Var(&c.seed, "seed", 1, "`seed` of the arrival times")
+}
+
+func (c *loadCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if c.stream.Request.Service == "" || c.stream.Request.Class == "" || c.stream.Rate <= 0 {
+		fmt.Fprintln(os.Stderr, "standin: -service, -class and a -rate above 0 are needed")
+		return subcommands.ExitUsageError
+	}
+	c.stream.Request.Body = json.RawMessage(`{"q":"load"}`)
+	var clients []*caller.Client
+	for _, address := range strings.Split(c.daemons, ",") {
+		transport := &http.Transport{MaxIdleConnsPerHost: 256}
+		clients = append(clients, caller.New("http://"+address, &http.Client{Transport: transport}))
+	}
+	reports := generator.Run(ctx, clients, []generator.Stream{c.stream}, c.span, c.seed)
+	encoder := json.NewEncoder(os.Stdout)
+	encoder.SetIndent("", "  ")
+	if err := encoder.Encode(reports); err != nil {
+		return fail(err)
+	}
+	return subcommands.ExitSuccess
+}
--- /dev/null
+++ b/internal/admitter/gate.go
@@ -0,0 +1,103 @@
+package admitter
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+const (
+	// gateInterval is the time from one adjustment of the admitted share to the next.
+	gateInterval = 100 * time.Millisecond
+	// gateMinRequests is how many shard requests an interval needs to count.
+	gateMinRequests = 50
+	// overloadShare is the share of refused shard requests that means overload.
+	overloadShare = 0.02
+	// gateDecrease and gateIncrease change the admitted share per interval.
+	gateDecrease = 0.85
+	gateIncrease = 0.02
+	// gateFloor keeps some requests coming, so that the end of an overload is seen.
+	gateFloor = 0.05
+	// trafficDecay is what an interval leaves of the traffic counted before.
+	trafficDecay = 0.8
+)
+
+// Gate refuses whole requests at the entry while backend servers are
+// overloaded: the lowest priority first, before any shard request is sent.
+// It is safe for concurrent use.
+type Gate struct {
+	mu sync.Mutex
+	// admitted is the share of all traffic that is let in, from gateFloor to 1.
+	admitted float64
+	// traffic counts recent requests by priority.
+	traffic  map[int]float64
+	ended    int
+	refused  int
+	adjustAt time.Time
+	rng      *rand.Rand
+}
+
+// NewGate returns an open gate.
+func NewGate(rng *rand.Rand) *Gate {
+	return &Gate{admitted: 1, traffic: map[int]float64{}, rng: rng}
+}
+
+// Admit reports whether a request of the priority may start.
+func (g *Gate) Admit(now time.Time, priority int) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.adjust(now)
+	g.traffic[priority]++
+	if g.admitted >= 1 {
+		return true
+	}
+	return g.rank(priority) < g.admitted
+}
+
+// rank places a request in [0, 1] among recent traffic, highest priority first.
+func (g *Gate) rank(priority int) float64 {
+	var above, own, total float64
+	for p, n := range g.traffic {
+		total += n
+		switch {
+		case p > priority:
+			above += n
+		case p == priority:
+			own = n
+		}
+	}
+	return (above + g.rng.Float64()*own) / total
+}
+
+// Ended counts a shard request that ended, refused for lack of room or not.
+func (g *Gate) Ended(refused bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.ended++
+	if refused {
+		g.refused++
+	}
+}
+
+// Share returns the share of traffic that is let in.
+func (g *Gate) Share() float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.admitted
+}
+
+func (g *Gate) adjust(now time.Time) {
+	if now.Before(g.adjustAt) {
+		return
+	}
+	g.adjustAt = now.Add(gateInterval)
+	if g.ended >= gateMinRequests && float64(g.refused) > overloadShare*float64(g.ended) {
+		g.admitted = max(gateFloor, g.admitted*gateDecrease)
+	} else {
+		g.admitted = min(1, g.admitted+gateIncrease)
+	}
+	g.ended, g.refused = 0, 0
+	for p := range g.traffic {
+		g.traffic[p] *= trafficDecay
+	}
+}
--- /dev/null
+++ b/internal/configurator/configurator.go
@@ -0,0 +1,123 @@
+// Package configurator keeps the documents in force on a daemon and decides
+// which of those that it hears of to take. It does no input or output.
+//
+// Generation order is the only order: a document is only ever replaced by one
+// of a higher generation, whatever a lagging watch, a restored store or a peer
+// says. Two contents of one generation are a conflict; the first stays.
+package configurator
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"sync"
+	"time"
+)
+
+// Document is one generation of a named document.
+type Document struct {
+	Name       string
+	Generation uint64
+	Digest     string
+	Content    []byte
+	// Since is when the daemon took it.
+	Since time.Time
+}
+
+// Verdict is what became of an offered document or head.
+type Verdict int
+
+// The verdicts.
+const (
+	// Wanted means that a head is newer than what is in force.
+	Wanted Verdict = iota + 1
+	// Taken means that the document is now in force.
+	Taken
+	// Older means that the offer is behind what is in force.
+	Older
+	// Same means that the offer is what is in force.
+	Same
+	// Conflict means that the offer has the generation in force but other content.
+	Conflict
+	// Corrupt means that the content does not match its digest or was rejected.
+	Corrupt
+)
+
+// String returns the verdict's name.
+func (v Verdict) String() string {
+	names := [...]string{Wanted: "wanted", Taken: "taken", Older: "older", Same: "same", Conflict: "conflict", Corrupt: "corrupt"}
+	return names[v]
+}
+
+// Register holds the documents in force. It is safe for concurrent use.
+type Register struct {
+	mu        sync.Mutex
+	documents map[string]Document
+	// Check rejects content that must not come into force; nil takes all.
+	check func(Document) error
+}
+
+// New returns an empty register.
+func New(check func(Document) error) *Register {
+	return &Register{documents: map[string]Document{}, check: check}
+}
+
+// Consider tells whether a document that was heard of is worth fetching.
+func (r *Register) Consider(name string, generation uint64, digest string) Verdict {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return compare(r.documents[name], generation, digest)
+}
+
+func compare(inForce Document, generation uint64, digest string) Verdict {
+	switch {
+	case generation > inForce.Generation:
+		return Wanted
+	case generation < inForce.Generation:
+		return Older
+	case digest == inForce.Digest:
+		return Same
+	default:
+		return Conflict
+	}
+}
+
+// Offer takes a document if it is newer than what is in force and sound.
+func (r *Register) Offer(d Document) Verdict {
+	if Digest(d.Content) != d.Digest {
+		return Corrupt
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if v := compare(r.documents[d.Name], d.Generation, d.Digest); v != Wanted {
+		return v
+	}
+	if r.check != nil && r.check(d) != nil {
+		return Corrupt
+	}
+	r.documents[d.Name] = d
+	return Taken
+}
+
+// InForce returns a document; its generation is zero if there is none.
+func (r *Register) InForce(name string) Document {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.documents[name]
+}
+
+// All returns every document in force.
+func (r *Register) All() []Document {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := make([]Document, 0, len(r.documents))
+	for _, d := range r.documents {
+		out = append(out, d)
+	}
+	return out
+}
+
+// Digest returns the digest that names a content.
+func Digest(content []byte) string {
+	sum := sha256.Sum256(content)
+	return hex.EncodeToString(sum[:])
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,305 @@
+// Package daemon puts sockets, timers and the platform round the core: one
+// process that is entry, gateway and relay at once.
+package daemon
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/tls"
+	"encoding/hex"
+	"errors"
+	mathrand "math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/oklog/run"
+	"k8s.io/klog/v2"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"github.com/fuchsiastile/fuchsiastile/internal/admitter"
+	"github.com/fuchsiastile/fuchsiastile/internal/configurator"
+	"github.com/fuchsiastile/fuchsiastile/internal/dialer"
+	"github.com/fuchsiastile/fuchsiastile/internal/failer"
+	"github.com/fuchsiastile/fuchsiastile/internal/hedger"
+	"github.com/fuchsiastile/fuchsiastile/internal/linker"
+	"github.com/fuchsiastile/fuchsiastile/internal/loader"
+	"github.com/fuchsiastile/fuchsiastile/internal/messenger"
+	"github.com/fuchsiastile/fuchsiastile/internal/picker"
+	"github.com/fuchsiastile/fuchsiastile/internal/planner"
+	"github.com/fuchsiastile/fuchsiastile/internal/prober"
+	"github.com/fuchsiastile/fuchsiastile/internal/scheduler"
+	"github.com/fuchsiastile/fuchsiastile/internal/sender"
+	"github.com/fuchsiastile/fuchsiastile/internal/ticketer"
+	"github.com/fuchsiastile/fuchsiastile/internal/watcher"
+)
+
+// Kind is the kind of an Error.
+type Kind string
+
+// The kinds of errors of this package.
+const (
+	KindListen   Kind = "listenFailed"
+	KindTLS      Kind = "tlsUnusable"
+	KindOverload Kind = "overloaded"
+	KindInvalid  Kind = "invalidRequest"
+	KindTicket   Kind = "ticketNeeded"
+	KindTooLarge Kind = "bodyTooLarge"
+)
+
+// Error is the error type of this package.
+type Error = failer.Error[Kind]
+
+// secretBytes is the length of the key that signs tickets.
+const secretBytes = 32
+
+// Daemon is one process of the query tier.
+type Daemon struct {
+	settings    loader.Settings
+	incarnation string
+	secret      []byte
+	started     time.Time
+
+	scheduler *scheduler.Scheduler
+	picker    *picker.Picker
+	gate      *admitter.Gate
+	register  *configurator.Register
+	sender    *sender.Sender
+	linker    *linker.Linker
+	platform  *watcher.Client
+	tickets   *ticketer.Table
+	metrics   *metrics
+
+	// view is what plans are made from; routing is who is gateway of whom.
+	// Both are replaced whole.
+	view    atomic.Pointer[planner.View]
+	routing atomic.Pointer[routing]
+	// routeStale is set when routing must be compiled anew.
+	routeStale atomic.Bool
+
+	// attempts counts attempts up from a random start, so that no two
+	// incarnations share ids.
+	attempts atomic.Uint64
+
+	mu sync.Mutex
+	// members is the membership state machine; it is used under mu only.
+	members *prober.Machine
+	// hedgers holds one hedger per class and service.
+	hedgers map[hedgerKey]*hedger.Hedger
+	// adopted holds the ticket tables that stopped daemons handed over.
+	adopted map[string]*ticketer.Table
+	// fetching holds documents that are being fetched.
+	fetching map[string]bool
+	// liveInput is the set of live daemons that routing was last compiled from.
+	liveInput string
+
+	stopping  atomic.Bool
+	stop      chan struct{}
+	stopOnce  sync.Once
+	callers   *http.Server
+	operators *http.Server
+	listeners listeners
+	// forwardTo is the successor that confirmed taking the tickets over.
+	forwardTo atomic.Pointer[string]
+	// onceActive counts non-idempotent requests under way.
+	onceActive atomic.Int64
+}
+
+type hedgerKey struct {
+	class   string
+	service string
+}
+
+// listeners are the sockets of a daemon.
+type listeners struct {
+	callers   net.Listener
+	operators net.Listener
+	peers     net.Listener
+	packets   net.PacketConn
+}
+
+// New opens the daemon's sockets; Run serves them.
+func New(settings loader.Settings, network dialer.Network) (*Daemon, error) {
+	tlsConfig, err := peerTLS(settings.TLS)
+	if err != nil {
+		return nil, err
+	}
+	l, err := listen(settings, network, tlsConfig)
+	if err != nil {
+		return nil, err
+	}
+	settings = l.resolved(settings)
+	d := &Daemon{
+		settings:    settings,
+		incarnation: settings.Peers + "/" + randomHex(),
+		secret:      randomBytes(secretBytes),
+		started:     time.Now(),
+		scheduler:   scheduler.New(),
+		gate:        admitter.NewGate(newRand()),
+		platform:    watcher.New(network, settings.Platform),
+		linker:      linker.New(network, tlsConfig),
+		metrics:     newMetrics(),
+		hedgers:     map[hedgerKey]*hedger.Hedger{},
+		adopted:     map[string]*ticketer.Table{},
+		fetching:    map[string]bool{},
+		stop:        make(chan struct{}),
+		listeners:   l,
+	}
+	d.picker = picker.New(picker.Config{
+		FailureDomain: settings.FailureDomain,
+		Region:        settings.Region,
+		Policy:        settings.Policy.Replica,
+		Rand:          newRand(),
+	})
+	d.sender = sender.New(sender.Config{
+		Network:    network,
+		Budget:     d.connectionBudget,
+		Draining:   func(searcher string) bool { return d.picker.IsDraining(time.Now(), searcher) },
+		OnDraining: d.noteDraining,
+		QueueLimit: settings.Policy.QueueLimit,
+		Adaptive:   settings.Policy.AdaptiveConcurrency,
+	})
+	d.tickets = ticketer.New(ticketer.Config{
+		Incarnation: d.incarnation,
+		Secret:      d.secret,
+		Started:     d.started,
+		Lifetime:    time.Duration(settings.Tickets.Lifetime),
+		Capacity:    settings.Tickets.Capacity,
+	})
+	d.register = configurator.New(checkDocument)
+	d.attempts.Store(newRand().Uint64())
+	d.view.Store(planner.New())
+	d.routing.Store(&routing{})
+	d.members = prober.New(prober.DefaultConfig(d.selfRecord(), newRand()))
+	d.callers = &http.Server{Handler: d.callersHandler(), ReadHeaderTimeout: 5 * time.Second}
+	d.operators = &http.Server{Handler: d.operatorsHandler(), ReadHeaderTimeout: 5 * time.Second}
+	d.seed(settings.Seeds)
+	return d, nil
+}
+
+func (d *Daemon) selfRecord() *messenger.Member {
+	return &messenger.Member{
+		Address:     d.settings.Peers,
+		Incarnation: d.incarnation,
+		// The start time is only a hint that makes a new process override an
+		// old one sooner; refutation does not depend on it.
+		Revision:      uint64(d.started.UnixMilli()),
+		FailureDomain: d.settings.FailureDomain,
+		Region:        d.settings.Region,
+	}
+}
+
+func listen(s loader.Settings, network dialer.Network, tlsConfig *tls.Config) (listeners, error) {
+	var l listeners
+	var err error
+	for _, one := range []struct {
+		address string
+		into    *net.Listener
+	}{{s.Callers, &l.callers}, {s.Operators, &l.operators}, {s.Peers, &l.peers}} {
+		if *one.into, err = net.Listen("tcp", one.address); err != nil {
+			l.close()
+			return l, failer.Wrap("listen on "+one.address, KindListen, err)
+		}
+	}
+	// Peers use one port for TCP and UDP.
+	if l.packets, err = network.Packet("udp", l.peers.Addr().String()); err != nil {
+		l.close()
+		return l, failer.Wrap("listen on "+s.Peers, KindListen, err)
+	}
+	if tlsConfig != nil {
+		l.peers = tls.NewListener(l.peers, tlsConfig)
+	}
+	return l, nil
+}
+
+// resolved returns the settings with the ports that were really opened.
+func (l listeners) resolved(s loader.Settings) loader.Settings {
+	s.Callers = l.callers.Addr().String()
+	s.Peers = l.peers.Addr().String()
+	s.Operators = l.operators.Addr().String()
+	return s
+}
+
+// Settings returns the settings in force, with the ports that were really opened.
+func (d *Daemon) Settings() loader.Settings { return d.settings }
+
+func (l listeners) close() {
+	for _, one := range []net.Listener{l.callers, l.operators, l.peers} {
+		if one != nil {
+			_ = one.Close()
+		}
+	}
+	if l.packets != nil {
+		_ = l.packets.Close()
+	}
+}
+
+// Run serves until Stop has been called and everything in flight has ended.
+func (d *Daemon) Run() error {
+	klog.InfoS("daemon started", "name", d.settings.Name, "incarnation", d.incarnation, "callers", d.settings.Callers)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var group run.Group
+	add := func(execute func(ctx context.Context) error, interrupt func()) {
+		group.Add(func() error { return execute(ctx) }, func(error) {
+			cancel()
+			interrupt()
+		})
+	}
+	mux := drpcmux.New()
+	if err := messenger.DRPCRegisterPeer(mux, &peerServer{daemon: d}); err != nil {
+		return failer.Wrap("register peer service", KindListen, err)
+	}
+	server := drpcserver.New(mux)
+	add(func(context.Context) error { return d.scheduler.Run() }, d.scheduler.Close)
+	add(func(ctx context.Context) error { return serve(ctx, d.callers, d.listeners.callers) }, func() { _ = d.callers.Close() })
+	add(func(ctx context.Context) error { return serve(ctx, d.operators, d.listeners.operators) }, func() { _ = d.operators.Close() })
+	add(func(ctx context.Context) error { return server.Serve(ctx, d.listeners.peers) }, func() { _ = d.listeners.peers.Close() })
+	add(func(context.Context) error { return d.receivePackets() }, func() { _ = d.listeners.packets.Close() })
+	add(d.relay, func() {})
+	add(d.awaitStop, func() {})
+	d.tickMembership(time.Now())
+	d.scheduler.Every(routingInterval, func(time.Time) { d.refreshRouting() })
+	err := group.Run()
+	d.linker.Close()
+	d.sender.Close()
+	klog.InfoS("daemon stopped", "name", d.settings.Name)
+	return err
+}
+
+// serve runs an HTTP server. A server that was shut down on purpose goes on
+// counting as running, so that the run group ends only when the stop is complete.
+func serve(ctx context.Context, server *http.Server, l net.Listener) error {
+	err := server.Serve(l)
+	if errors.Is(err, http.ErrServerClosed) {
+		<-ctx.Done()
+		return nil
+	}
+	return err
+}
+
+// nextAttempt returns an attempt id that this incarnation has not used.
+func (d *Daemon) nextAttempt() uint64 { return d.attempts.Add(1) }
+
+func newRand() *mathrand.Rand {
+	var seed [32]byte
+	_, _ = rand.Read(seed[:])
+	return mathrand.New(mathrand.NewChaCha8(seed))
+}
+
+func randomBytes(n int) []byte {
+	out := make([]byte, n)
+	_, _ = rand.Read(out)
+	return out
+}
+
+func randomHex() string { return hex.EncodeToString(randomBytes(8)) }
+
+// newRequestID returns an id that no other request of the tier has.
+func (d *Daemon) newRequestID() string {
+	return d.incarnation[len(d.settings.Peers)+1:] + "-" + strconv.FormatUint(d.nextAttempt(), 36)
+}
--- /dev/null
+++ b/internal/daemon/members.go
@@ -0,0 +1,214 @@
+package daemon
+
+import (
+	"errors"
+	"net"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"k8s.io/klog/v2"
+
+	"github.com/fuchsiastile/fuchsiastile/internal/configurator"
+	"github.com/fuchsiastile/fuchsiastile/internal/messenger"
+	"github.com/fuchsiastile/fuchsiastile/internal/prober"
+	"github.com/fuchsiastile/fuchsiastile/pkg/declarer"
+)
+
+const (
+	// maxPacket is the largest datagram that is read.
+	maxPacket = 64 << 10
+	// maxDrainingPerPacket bounds the backend servers that one packet names as leaving.
+	maxDrainingPerPacket = 8
+	// headDigest is how much of a digest a packet carries.
+	headDigest = 16
+	// drainingNews is how long a server that is leaving is passed on.
+	drainingNews = 30 * time.Second
+)
+
+// seed tells the membership of daemons that a hint names.
+func (d *Daemon) seed(addresses []string) {
+	seeds := make([]*messenger.Member, len(addresses))
+	for i, address := range addresses {
+		seeds[i] = &messenger.Member{Address: address}
+	}
+	d.seedMembers(seeds)
+}
+
+func (d *Daemon) seedMembers(seeds []*messenger.Member) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.members.Seed(time.Now(), seeds)
+}
+
+// tickMembership drives the state machine and subscribes to its next moment.
+func (d *Daemon) tickMembership(now time.Time) {
+	d.mu.Lock()
+	out := d.encode(now, d.members.Tick(now))
+	next := d.members.NextTick()
+	d.mu.Unlock()
+	d.sendPackets(out)
+	d.scheduler.At(next, d.tickMembership)
+}
+
+// pushNews sends what is new to a few members at once.
+func (d *Daemon) pushNews() {
+	now := time.Now()
+	d.mu.Lock()
+	out := d.encode(now, d.members.Push())
+	d.mu.Unlock()
+	d.sendPackets(out)
+}
+
+// datagram is an encoded packet.
+type datagram struct {
+	to   string
+	data []byte
+}
+
+// encode adds heads and news of leaving servers to packets and encodes them.
+// The caller holds mu, since packets share records with the state machine.
+func (d *Daemon) encode(now time.Time, packets []prober.Outgoing) []datagram {
+	if len(packets) == 0 {
+		return nil
+	}
+	heads := d.heads()
+	draining := d.drainingNews(now)
+	out := make([]datagram, 0, len(packets))
+	for _, p := range packets {
+		p.Packet.Heads = heads
+		p.Packet.Draining = draining
+		data, err := proto.Marshal(p.Packet)
+		if err != nil {
+			continue
+		}
+		out = append(out, datagram{to: p.To, data: data})
+	}
+	return out
+}
+
+func (d *Daemon) heads() []*messenger.Head {
+	var out []*messenger.Head
+	for _, document := range d.register.All() {
+		out = append(out, &messenger.Head{
+			Document:   document.Name,
+			Generation: document.Generation,
+			Digest:     document.Digest[:headDigest],
+		})
+	}
+	return out
+}
+
+func (d *Daemon) drainingNews(now time.Time) []*messenger.Draining {
+	var out []*messenger.Draining
+	for searcher, since := range d.picker.DrainingServers(now) {
+		age := now.Sub(since)
+		if age > drainingNews || len(out) == maxDrainingPerPacket {
+			continue
+		}
+		out = append(out, &messenger.Draining{Searcher: searcher, AgeMillis: uint32(age.Milliseconds())})
+	}
+	return out
+}
+
+func (d *Daemon) sendPackets(packets []datagram) {
+	for _, p := range packets {
+		address, err := net.ResolveUDPAddr("udp", p.to)
+		if err != nil {
+			continue
+		}
+		if n, err := d.listeners.packets.WriteTo(p.data, address); err == nil {
+			d.metrics.packetsOut.Inc()
+			d.metrics.bytesOut.Add(n)
+		}
+	}
+}
+
+// receivePackets takes packets of peers until the socket is closed.
+func (d *Daemon) receivePackets() error {
+	buffer := make([]byte, maxPacket)
+	for {
+		n, _, err := d.listeners.packets.ReadFrom(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			continue
+		}
+		d.metrics.packetsIn.Inc()
+		d.metrics.bytesIn.Add(n)
+		packet := &messenger.Packet{}
+		if proto.Unmarshal(buffer[:n], packet) == nil {
+			d.receive(packet)
+		}
+	}
+}
+
+func (d *Daemon) receive(packet *messenger.Packet) {
+	now := time.Now()
+	d.mu.Lock()
+	out := d.encode(now, d.members.Receive(now, packet))
+	d.mu.Unlock()
+	d.sendPackets(out)
+	for _, news := range packet.GetDraining() {
+		since := now.Add(-time.Duration(news.GetAgeMillis()) * time.Millisecond)
+		d.noteDrainingSince(since, news.GetSearcher())
+	}
+	for _, head := range packet.GetHeads() {
+		d.hear(packet.GetFrom(), head)
+	}
+}
+
+// noteDraining takes the word of a backend server that it is leaving.
+func (d *Daemon) noteDraining(searcher string) { d.noteDrainingSince(time.Now(), searcher) }
+
+func (d *Daemon) noteDrainingSince(since time.Time, searcher string) {
+	if !d.picker.Draining(since, searcher) {
+		return
+	}
+	klog.InfoS("backend server is leaving", "searcher", searcher)
+	d.sender.Drain(searcher)
+	d.pushNews()
+}
+
+// hear fetches a document from the peer that has a newer one.
+func (d *Daemon) hear(from string, head *messenger.Head) {
+	name := head.GetDocument()
+	inForce := d.register.InForce(name)
+	digest := inForce.Digest
+	if len(digest) > headDigest {
+		digest = digest[:headDigest]
+	}
+	if head.GetGeneration() == inForce.Generation && head.GetDigest() != digest {
+		d.metrics.conflicts.Inc()
+	}
+	if head.GetGeneration() <= inForce.Generation || !knownDocument(name) {
+		return
+	}
+	d.mu.Lock()
+	busy := d.fetching[name]
+	d.fetching[name] = true
+	d.mu.Unlock()
+	if !busy {
+		go d.fetch(from, name)
+	}
+}
+
+func knownDocument(name string) bool {
+	return name == declarer.DocumentDeclarations || name == declarer.DocumentIndexes || name == declarer.DocumentVMs
+}
+
+// take puts a document in force if it is newer, and tells others of it.
+func (d *Daemon) take(document configurator.Document) configurator.Verdict {
+	document.Since = time.Now()
+	verdict := d.register.Offer(document)
+	switch verdict {
+	case configurator.Taken:
+		klog.InfoS("document in force", "document", document.Name, "generation", document.Generation, "digest", document.Digest[:headDigest])
+		d.apply()
+		d.pushNews()
+	case configurator.Conflict:
+		d.metrics.conflicts.Inc()
+	case configurator.Wanted, configurator.Older, configurator.Same, configurator.Corrupt:
+	}
+	return verdict
+}
--- /dev/null
+++ b/internal/daemon/peers.go
@@ -0,0 +1,179 @@
+package daemon
+
+import (
+	"bytes"
+	"compress/gzip"
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"io"
+	"os"
+	"time"
+
+	"github.com/fuchsiastile/fuchsiastile/internal/failer"
+	"github.com/fuchsiastile/fuchsiastile/internal/linker"
+	"github.com/fuchsiastile/fuchsiastile/internal/loader"
+	"github.com/fuchsiastile/fuchsiastile/internal/messenger"
+	"github.com/fuchsiastile/fuchsiastile/internal/ticketer"
+)
+
+// maxDocumentBytes bounds a document that a peer sends, unpacked.
+const maxDocumentBytes = 16 << 20
+
+// peerServer is what daemons offer each other.
+type peerServer struct {
+	daemon *Daemon
+}
+
+// Exchange carries shard requests of a peer's queries.
+func (p *peerServer) Exchange(stream messenger.DRPCPeer_ExchangeStream) error {
+	d := p.daemon
+	return linker.Gateway{
+		Submit: func(batch *messenger.QueryBatch, deliver func(*messenger.ShardResult)) {
+			d.sender.Submit(batch, deliver)
+		},
+		Cancel: d.sender.Cancel,
+	}.Serve(stream)
+}
+
+// Once takes a non-idempotent request whose ticket this daemon should hold.
+func (p *peerServer) Once(ctx context.Context, message *messenger.OnceRequest) (*messenger.OnceReply, error) {
+	d := p.daemon
+	d.onceActive.Add(1)
+	defer d.onceActive.Add(-1)
+	ticket, err := ticketer.Parse(message.GetTicket())
+	if err != nil {
+		return notRunOnce(err.Error()), nil
+	}
+	table, ok := d.tableOf(ticket.Incarnation)
+	if !ok {
+		return unknownOnce("the daemon that issued the ticket is gone"), nil
+	}
+	reply, err := d.runOnce(ctx, table, ticket, message)
+	if kindIs(err, ticketer.KindClosed) {
+		return d.passToSuccessor(ctx, message)
+	}
+	if err != nil {
+		return notRunOnce(err.Error()), nil
+	}
+	return reply, nil
+}
+
+// HandOver takes the closed ticket table of a daemon that stops.
+func (p *peerServer) HandOver(_ context.Context, r *messenger.HandOverRequest) (*messenger.HandOverReply, error) {
+	p.daemon.adopt(r)
+	return &messenger.HandOverReply{}, nil
+}
+
+// Fetch sends a document, packed.
+func (p *peerServer) Fetch(_ context.Context, r *messenger.FetchRequest) (*messenger.FetchReply, error) {
+	document := p.daemon.register.InForce(r.GetDocument())
+	content, err := pack(document.Content)
+	if err != nil {
+		return nil, err
+	}
+	return &messenger.FetchReply{
+		Document:   r.GetDocument(),
+		Generation: document.Generation,
+		Digest:     document.Digest,
+		Content:    content,
+	}, nil
+}
+
+func pack(content []byte) ([]byte, error) {
+	var out bytes.Buffer
+	w := gzip.NewWriter(&out)
+	if _, err := w.Write(content); err != nil {
+		return nil, err
+	}
+	if err := w.Close(); err != nil {
+		return nil, err
+	}
+	return out.Bytes(), nil
+}
+
+func unpack(packed []byte) ([]byte, error) {
+	r, err := gzip.NewReader(bytes.NewReader(packed))
+	if err != nil {
+		return nil, err
+	}
+	return io.ReadAll(io.LimitReader(r, maxDocumentBytes))
+}
+
+// adopt takes over, or adds to, the tickets of a daemon that stops.
+func (d *Daemon) adopt(r *messenger.HandOverRequest) {
+	handOver := ticketer.HandOver{
+		Incarnation: r.GetIncarnation(),
+		Secret:      r.GetSecret(),
+		Age:         time.Duration(r.GetElapsedMillis()) * time.Millisecond,
+	}
+	for _, e := range r.GetEntries() {
+		state := ticketer.StateUnknown
+		if e.GetOutcome() == messenger.Outcome_ANSWERED {
+			state = ticketer.StateAnswered
+		}
+		handOver.Entries = append(handOver.Entries, ticketer.Entry{
+			Sequence: e.GetSequence(),
+			Digest:   e.GetDigest(),
+			State:    state,
+			Result:   ticketer.Result{Detail: e.GetDetail(), Snapshot: e.GetSnapshot(), Hits: e.GetHits()},
+		})
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if table, ok := d.adopted[handOver.Incarnation]; ok {
+		table.Amend(handOver.Entries)
+		return
+	}
+	d.adopted[handOver.Incarnation] = ticketer.Adopt(time.Now(), handOver, time.Duration(d.settings.Tickets.Lifetime), d.settings.Tickets.Capacity)
+}
+
+func handOverMessage(h ticketer.HandOver) *messenger.HandOverRequest {
+	out := &messenger.HandOverRequest{
+		Incarnation:   h.Incarnation,
+		Secret:        h.Secret,
+		ElapsedMillis: h.Age.Milliseconds(),
+	}
+	for _, e := range h.Entries {
+		outcome := messenger.Outcome_UNKNOWN
+		if e.State == ticketer.StateAnswered {
+			outcome = messenger.Outcome_ANSWERED
+		}
+		out.Entries = append(out.Entries, &messenger.TicketEntry{
+			Sequence: e.Sequence,
+			Digest:   e.Digest,
+			Outcome:  outcome,
+			Detail:   e.Result.Detail,
+			Snapshot: e.Result.Snapshot,
+			Hits:     e.Result.Hits,
+		})
+	}
+	return out
+}
+
+// peerTLS returns the configuration with which daemons prove themselves to each other.
+func peerTLS(files *loader.TLS) (*tls.Config, error) {
+	const op = "load TLS files"
+	if files == nil {
+		return nil, nil
+	}
+	certificate, err := tls.LoadX509KeyPair(files.Certificate, files.Key)
+	if err != nil {
+		return nil, failer.Wrap(op, KindTLS, err)
+	}
+	authority, err := os.ReadFile(files.Authority)
+	if err != nil {
+		return nil, failer.Wrap(op, KindTLS, err)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(authority) {
+		return nil, failer.New(op, KindTLS, "%s holds no certificate", files.Authority)
+	}
+	return &tls.Config{
+		Certificates: []tls.Certificate{certificate},
+		RootCAs:      pool,
+		ClientCAs:    pool,
+		ClientAuth:   tls.RequireAndVerifyClientCert,
+		MinVersion:   tls.VersionTLS13,
+	}, nil
+}
--- /dev/null
+++ b/internal/daemon/relay.go
@@ -0,0 +1,235 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/fuchsiastile/fuchsiastile/internal/assigner"
+	"github.com/fuchsiastile/fuchsiastile/internal/configurator"
+	"github.com/fuchsiastile/fuchsiastile/internal/messenger"
+	"github.com/fuchsiastile/fuchsiastile/internal/planner"
+	"github.com/fuchsiastile/fuchsiastile/internal/publisher"
+	"github.com/fuchsiastile/fuchsiastile/internal/watcher"
+	"github.com/fuchsiastile/fuchsiastile/pkg/declarer"
+)
+
+const (
+	// relaysPerDomain is how many daemons of a failure domain watch the platform.
+	relaysPerDomain = 2
+	// watchWait is how long the platform holds a read open.
+	watchWait = 20 * time.Second
+	// relayRecheck is how often a daemon that is no relay looks whether it has become one.
+	relayRecheck = 500 * time.Millisecond
+	// minBackoff and maxBackoff bound the wait after a platform failure.
+	minBackoff = 100 * time.Millisecond
+	maxBackoff = 3 * time.Second
+	// fetchTimeout bounds fetching a document from a peer.
+	fetchTimeout = 2 * time.Second
+	// vmListInterval spaces readings of the VM list, so that a burst of restarts spreads as one.
+	vmListInterval = 2 * time.Second
+)
+
+// relay watches the platform while this daemon is one of its domain's relays.
+func (d *Daemon) relay(ctx context.Context) error {
+	var wait sync.WaitGroup
+	watch := func(read func(ctx context.Context) error) {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			d.watchWhileRelay(ctx, read)
+		}()
+	}
+	for _, name := range []string{declarer.DocumentDeclarations, declarer.DocumentIndexes} {
+		version := uint64(0)
+		watch(func(ctx context.Context) error {
+			var err error
+			version, err = d.relayDocument(ctx, name, version)
+			return err
+		})
+	}
+	version := uint64(0)
+	watch(func(ctx context.Context) error {
+		var err error
+		version, err = d.relayVMs(ctx, version)
+		return err
+	})
+	wait.Wait()
+	return nil
+}
+
+// watchWhileRelay repeats a waiting read, with a growing wait after failures.
+func (d *Daemon) watchWhileRelay(ctx context.Context, read func(ctx context.Context) error) {
+	backoff := minBackoff
+	for ctx.Err() == nil {
+		if !d.isRelay() {
+			sleep(ctx, relayRecheck)
+			continue
+		}
+		d.metrics.platformCalls.Inc()
+		err := read(ctx)
+		if err == nil {
+			backoff = minBackoff
+			continue
+		}
+		if ctx.Err() == nil && !kindIs(err, watcher.KindAbsent) {
+			d.metrics.platformFails.Inc()
+		}
+		sleep(ctx, backoff/2+rand.N(backoff))
+		backoff = min(2*backoff, maxBackoff)
+	}
+}
+
+func sleep(ctx context.Context, span time.Duration) {
+	timer := time.NewTimer(span)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// isRelay reports whether rendezvous hashing picks this daemon in its domain.
+// Two daemons that disagree cost the platform a watch, and nothing else.
+func (d *Daemon) isRelay() bool {
+	if d.stopping.Load() {
+		return false
+	}
+	var near []string
+	for _, m := range d.liveDaemons() {
+		if m.GetFailureDomain() == d.settings.FailureDomain {
+			near = append(near, m.GetAddress())
+		}
+	}
+	return slices.Contains(assigner.Top("relay", near, relaysPerDomain), d.settings.Peers)
+}
+
+// relayDocument waits for a head above a version and takes its content.
+func (d *Daemon) relayDocument(ctx context.Context, name string, after uint64) (uint64, error) {
+	object, err := d.platform.Object(ctx, publisher.HeadName(name), after, watchWait)
+	if err != nil {
+		return 0, err
+	}
+	if object.Version == after {
+		return after, nil
+	}
+	var head declarer.Head
+	if err := json.Unmarshal(object.Value, &head); err != nil {
+		klog.ErrorS(err, "head is unreadable", "document", name)
+		return object.Version, nil
+	}
+	if d.register.Consider(name, head.Generation, head.Digest) != configurator.Wanted {
+		return object.Version, nil
+	}
+	content, err := d.platform.Object(ctx, publisher.ContentName(name, head.Digest), 0, 0)
+	if err != nil {
+		return after, err
+	}
+	verdict := d.take(configurator.Document{Name: name, Generation: head.Generation, Digest: head.Digest, Content: content.Value})
+	if verdict == configurator.Corrupt {
+		klog.InfoS("document rejected", "document", name, "generation", head.Generation)
+	}
+	return object.Version, nil
+}
+
+// relayVMs waits for a VM list above a version and takes it.
+func (d *Daemon) relayVMs(ctx context.Context, after uint64) (uint64, error) {
+	list, err := d.platform.VMs(ctx, after, watchWait)
+	if err != nil {
+		return 0, err
+	}
+	if list.Version == after {
+		return after, nil
+	}
+	content, err := json.Marshal(list)
+	if err != nil {
+		return after, err
+	}
+	d.take(configurator.Document{
+		Name:       declarer.DocumentVMs,
+		Generation: list.Version,
+		Digest:     configurator.Digest(content),
+		Content:    content,
+	})
+	sleep(ctx, vmListInterval)
+	return list.Version, nil
+}
+
+// fetch gets a document from a peer.
+func (d *Daemon) fetch(from, name string) {
+	defer func() {
+		d.mu.Lock()
+		d.fetching[name] = false
+		d.mu.Unlock()
+	}()
+	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
+	defer cancel()
+	reply, err := d.linker.Peer(ctx, from).Fetch(ctx, &messenger.FetchRequest{Document: name})
+	if err != nil {
+		return
+	}
+	content, err := unpack(reply.GetContent())
+	if err != nil {
+		return
+	}
+	d.take(configurator.Document{
+		Name:       name,
+		Generation: reply.GetGeneration(),
+		Digest:     reply.GetDigest(),
+		Content:    content,
+	})
+}
+
+// checkDocument rejects content that must not come into force.
+func checkDocument(document configurator.Document) error {
+	var err error
+	switch document.Name {
+	case declarer.DocumentDeclarations:
+		_, err = declarer.ParseDeclarations(document.Name, document.Content)
+	case declarer.DocumentIndexes:
+		_, err = declarer.ParseIndexes(document.Name, document.Content)
+	default:
+		err = json.Unmarshal(document.Content, &declarer.VMList{})
+	}
+	return err
+}
+
+// apply makes a new view of the documents in force. All of them were checked.
+func (d *Daemon) apply() {
+	d.mu.Lock()
+	var list declarer.VMList
+	var declarations declarer.Declarations
+	var indexes declarer.Indexes
+	d.decode(declarer.DocumentVMs, &list)
+	d.decode(declarer.DocumentDeclarations, &declarations)
+	d.decode(declarer.DocumentIndexes, &indexes)
+	d.view.Store(planner.New().WithDeclarations(declarations).WithIndexes(indexes).WithVMs(list.VMs))
+	// Hedgers are made anew, since rules may have changed.
+	clear(d.hedgers)
+	d.mu.Unlock()
+	d.seedMembers(entryMembers(list.VMs))
+	d.routeStale.Store(true)
+	d.refreshRouting()
+}
+
+func (d *Daemon) decode(name string, into any) {
+	if content := d.register.InForce(name).Content; len(content) > 0 {
+		_ = declarer.Decode(name, content, into)
+	}
+}
+
+// entryMembers returns the daemons on the VM list as seeds of the membership.
+func entryMembers(vms []declarer.VM) []*messenger.Member {
+	var out []*messenger.Member
+	for _, vm := range vms {
+		if vm.Labels[declarer.RoleLabel] == declarer.RoleEntry && vm.State == declarer.VMLive {
+			out = append(out, &messenger.Member{Address: vm.Address, FailureDomain: vm.FailureDomain, Region: vm.Region})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/daemon/routing.go
@@ -0,0 +1,185 @@
+package daemon
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/fuchsiastile/fuchsiastile/internal/assigner"
+	"github.com/fuchsiastile/fuchsiastile/internal/loader"
+	"github.com/fuchsiastile/fuchsiastile/internal/messenger"
+	"github.com/fuchsiastile/fuchsiastile/internal/planner"
+	"github.com/fuchsiastile/fuchsiastile/internal/prober"
+)
+
+// routingInterval is how often routing is checked against members and view.
+const routingInterval = 200 * time.Millisecond
+
+// route is who may dial one searcher.
+type route struct {
+	// gateways is sorted and never empty.
+	gateways []string
+	// self is true if this daemon is one of them.
+	self bool
+	// connections is how many each of them may hold.
+	connections int
+}
+
+// routing maps each searcher's address to its route. It is immutable.
+type routing struct {
+	routes map[string]route
+}
+
+// searcherSet is all searchers of one failure domain with one connection limit.
+type searcherSet struct {
+	failureDomain string
+	limit         int
+}
+
+// connectionBudget returns how many connections this daemon may hold to a searcher.
+func (d *Daemon) connectionBudget(searcher string) int {
+	r, ok := d.routing.Load().routes[searcher]
+	if !ok || !r.self {
+		return 0
+	}
+	return r.connections
+}
+
+// refreshRouting compiles routing anew if members or view have changed.
+func (d *Daemon) refreshRouting() {
+	live := d.liveDaemons()
+	input := strings.Join(addressesOf(live), ",")
+	d.mu.Lock()
+	changed := input != d.liveInput
+	d.liveInput = input
+	d.mu.Unlock()
+	if !changed && !d.routeStale.Swap(false) {
+		return
+	}
+	d.routing.Store(d.compileRouting(live, d.view.Load()))
+	d.sender.Forget()
+	d.linker.Forget(setOf(addressesOf(live)))
+	d.picker.Forget(setOf(d.routing.Load().searchers()))
+}
+
+func (r *routing) searchers() []string {
+	out := make([]string, 0, len(r.routes))
+	for searcher := range r.routes {
+		out = append(out, searcher)
+	}
+	return out
+}
+
+// liveDaemons returns the members that may be alive, this daemon included.
+func (d *Daemon) liveDaemons() []*messenger.Member {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.DeleteFunc(d.members.Members(), func(m *messenger.Member) bool {
+		return prober.StateOf(m) > prober.Suspect
+	})
+}
+
+func addressesOf(members []*messenger.Member) []string {
+	out := make([]string, len(members))
+	for i, m := range members {
+		out[i] = m.GetAddress()
+	}
+	return out
+}
+
+func setOf(names []string) map[string]bool {
+	out := make(map[string]bool, len(names))
+	for _, name := range names {
+		out[name] = true
+	}
+	return out
+}
+
+func (d *Daemon) compileRouting(live []*messenger.Member, view *planner.View) *routing {
+	byDomain := map[string][]string{}
+	for _, m := range live {
+		byDomain[m.GetFailureDomain()] = append(byDomain[m.GetFailureDomain()], m.GetAddress())
+	}
+	all := addressesOf(live)
+	out := &routing{routes: map[string]route{}}
+	for set, searchers := range searcherSets(view) {
+		near := byDomain[set.failureDomain]
+		if len(near) == 0 {
+			near = all
+		}
+		d.routeSet(out, set, searchers, near, all)
+	}
+	return out
+}
+
+// searcherSets sorts every searcher of the view into sets; one that several
+// services share counts with the least of their limits.
+func searcherSets(view *planner.View) map[searcherSet][]string {
+	limits := map[string]searcherSet{}
+	for _, plan := range view.Plans() {
+		for _, shard := range plan.Shards {
+			for _, c := range shard.Candidates {
+				set, ok := limits[c.Address]
+				if !ok || plan.Service.ConnectionLimit < set.limit {
+					limits[c.Address] = searcherSet{failureDomain: c.FailureDomain, limit: plan.Service.ConnectionLimit}
+				}
+			}
+		}
+	}
+	out := map[searcherSet][]string{}
+	for address, set := range limits {
+		out[set] = append(out[set], address)
+	}
+	return out
+}
+
+// routeSet works out the routes of one set under the route that is set.
+func (d *Daemon) routeSet(out *routing, set searcherSet, searchers, near, all []string) {
+	budget := assigner.Split(set.limit, len(all))
+	switch {
+	case d.settings.Policy.Route == loader.RouteDirect:
+		d.addRoutes(out, searchers, func(string) []string { return []string{d.settings.Peers} }, max(2, budget.PerGateway))
+	case d.settings.Policy.Route == loader.RouteOwner:
+		owner := func(searcher string) []string { return assigner.Top(searcher, near, 1) }
+		d.addRoutes(out, searchers, owner, assigner.Split(set.limit, 1).PerGateway)
+	case budget.Gateways >= len(all):
+		d.addRoutes(out, searchers, func(string) []string { return all }, budget.PerGateway)
+	default:
+		groups := assigner.New(near, searchers, budget.Gateways)
+		d.addRoutes(out, searchers, groups.Gateways, budget.PerGateway)
+	}
+}
+
+func (d *Daemon) addRoutes(out *routing, searchers []string, gateways func(string) []string, connections int) {
+	for _, searcher := range searchers {
+		g := gateways(searcher)
+		if len(g) == 0 {
+			continue
+		}
+		out.routes[searcher] = route{
+			gateways:    g,
+			self:        slices.Contains(g, d.settings.Peers),
+			connections: connections,
+		}
+	}
+}
+
+// gatewayFor returns the daemon that a shard request goes through. Turn picks
+// among equals, so that a second attempt goes through another daemon.
+func (d *Daemon) gatewayFor(searcher string, turn uint64) (string, bool) {
+	r, ok := d.routing.Load().routes[searcher]
+	if !ok {
+		return "", false
+	}
+	if r.self && d.settings.Policy.Route != loader.RouteGateway {
+		return d.settings.Peers, true
+	}
+	n := uint64(len(r.gateways))
+	for i := range n {
+		g := r.gateways[(turn+i)%n]
+		if g != d.settings.Peers && d.linker.Usable(g) {
+			return g, true
+		}
+	}
+	return r.gateways[turn%n], true
+}
--- /dev/null
+++ b/internal/daemon/status.go
@@ -0,0 +1,129 @@
+package daemon
+
+import (
+	"net/http"
+	"runtime"
+	"time"
+
+	"github.com/fuchsiastile/fuchsiastile/internal/prober"
+	"github.com/fuchsiastile/fuchsiastile/pkg/declarer"
+)
+
+// DocumentStatus is one document in force.
+type DocumentStatus struct {
+	Generation uint64    `json:"generation"`
+	Digest     string    `json:"digest"`
+	Since      time.Time `json:"since"`
+}
+
+// MemberStatus is what a daemon thinks of one other.
+type MemberStatus struct {
+	Address       string `json:"address"`
+	State         string `json:"state"`
+	FailureDomain string `json:"failureDomain"`
+	Successor     string `json:"successor,omitempty"`
+}
+
+// Status is the status document of a daemon.
+type Status struct {
+	Name          string                    `json:"name"`
+	Incarnation   string                    `json:"incarnation"`
+	FailureDomain string                    `json:"failureDomain"`
+	Ready         bool                      `json:"ready"`
+	NotReady      []string                  `json:"notReady,omitempty"`
+	UptimeSeconds float64                   `json:"uptimeSeconds"`
+	Documents     map[string]DocumentStatus `json:"documents"`
+	Members       []MemberStatus            `json:"members"`
+	Relay         bool                      `json:"relay"`
+	// Draining lists backend servers that said they are leaving.
+	Draining     []string `json:"draining,omitempty"`
+	Tickets      int      `json:"tickets"`
+	AdmittedPart float64  `json:"admittedPart"`
+	// ActiveCalls is how many shard requests this daemon has as a gateway.
+	ActiveCalls int64  `json:"activeCalls"`
+	SentCalls   int64  `json:"sentCalls"`
+	HeapBytes   uint64 `json:"heapBytes"`
+	Goroutines  int    `json:"goroutines"`
+}
+
+func (d *Daemon) operatorsHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /ready", d.handleReady)
+	mux.HandleFunc("GET /live", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("live\n")) })
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { d.metrics.write(w) })
+	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, "application/json", d.Status())
+	})
+	return mux
+}
+
+// handleReady tells the balancer whether to send callers here.
+func (d *Daemon) handleReady(w http.ResponseWriter, _ *http.Request) {
+	if why := d.notReady(); len(why) > 0 {
+		writeJSON(w, http.StatusServiceUnavailable, "application/json", why)
+		return
+	}
+	_, _ = w.Write([]byte("ready\n"))
+}
+
+// notReady returns every reason why callers should not be sent here.
+func (d *Daemon) notReady() []string {
+	var why []string
+	if d.stopping.Load() {
+		why = append(why, "the daemon is stopping")
+	}
+	for _, name := range []string{declarer.DocumentDeclarations, declarer.DocumentIndexes, declarer.DocumentVMs} {
+		if d.register.InForce(name).Generation == 0 {
+			why = append(why, "no "+name+" yet, neither from the platform nor from a peer")
+		}
+	}
+	return why
+}
+
+// Status returns the status document.
+func (d *Daemon) Status() Status {
+	now := time.Now()
+	why := d.notReady()
+	status := Status{
+		Name:          d.settings.Name,
+		Incarnation:   d.incarnation,
+		FailureDomain: d.settings.FailureDomain,
+		Ready:         len(why) == 0,
+		NotReady:      why,
+		UptimeSeconds: now.Sub(d.started).Seconds(),
+		Documents:     map[string]DocumentStatus{},
+		Relay:         d.isRelay(),
+		Tickets:       d.tickets.Len(),
+		AdmittedPart:  d.gate.Share(),
+		ActiveCalls:   d.sender.Active(),
+		SentCalls:     d.sender.Sent(),
+		Goroutines:    runtime.NumGoroutine(),
+	}
+	var memory runtime.MemStats
+	runtime.ReadMemStats(&memory)
+	status.HeapBytes = memory.HeapAlloc
+	for _, document := range d.register.All() {
+		status.Documents[document.Name] = DocumentStatus{Generation: document.Generation, Digest: document.Digest, Since: document.Since}
+	}
+	for searcher := range d.picker.DrainingServers(now) {
+		status.Draining = append(status.Draining, searcher)
+	}
+	status.Members = d.memberStatus()
+	return status
+}
+
+func (d *Daemon) memberStatus() []MemberStatus {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	members := d.members.Members()
+	out := make([]MemberStatus, len(members))
+	for i, m := range members {
+		out[i] = MemberStatus{
+			Address:       m.GetAddress(),
+			State:         prober.StateOf(m).String(),
+			FailureDomain: m.GetFailureDomain(),
+			Successor:     m.GetSuccessor(),
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/daemon/stop.go
@@ -0,0 +1,148 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/fuchsiastile/fuchsiastile/internal/assigner"
+	"github.com/fuchsiastile/fuchsiastile/internal/messenger"
+	"github.com/fuchsiastile/fuchsiastile/internal/ticketer"
+)
+
+const (
+	// handOverTimeout bounds handing tickets to the successor.
+	handOverTimeout = 2 * time.Second
+	// idlePoll is how often a stopping daemon looks whether it is idle.
+	idlePoll = 20 * time.Millisecond
+	// leaveGrace is how long peers get to move their requests to other gateways.
+	leaveGrace = 500 * time.Millisecond
+)
+
+// Stop starts a planned stop; Run returns when it is complete.
+func (d *Daemon) Stop() {
+	d.stopOnce.Do(func() { close(d.stop) })
+}
+
+// Kill ends the daemon at once, as a crash does.
+func (d *Daemon) Kill() {
+	d.stopping.Store(true)
+	d.listeners.close()
+	_ = d.callers.Close()
+	_ = d.operators.Close()
+	d.linker.Close()
+	d.scheduler.Close()
+}
+
+// awaitStop carries out a planned stop: not ready, leave the balancer, hand
+// tickets over, leave the membership, finish what is in flight.
+func (d *Daemon) awaitStop(ctx context.Context) error {
+	select {
+	case <-d.stop:
+	case <-ctx.Done():
+		return nil
+	}
+	klog.InfoS("daemon is stopping", "name", d.settings.Name)
+	d.stopping.Store(true)
+	sleep(ctx, time.Duration(d.settings.Shutdown.LeaveBalancer))
+	finish, cancel := context.WithTimeout(ctx, time.Duration(d.settings.Shutdown.Finish))
+	defer cancel()
+	successor := d.handOver(finish)
+	d.announceLeave(successor)
+	// Finishes every caller's request in flight; new connections are refused.
+	_ = d.callers.Shutdown(finish)
+	awaitIdle(finish, d.onceActive.Load)
+	d.amend(finish, successor)
+	d.announceLeave(successor)
+	sleep(finish, leaveGrace)
+	awaitIdle(finish, d.sender.Active)
+	klog.InfoS("daemon is idle", "name", d.settings.Name, "successor", successor)
+	return nil
+}
+
+// awaitIdle waits until nothing is active.
+func awaitIdle(ctx context.Context, active func() int64) {
+	for active() > 0 && ctx.Err() == nil {
+		sleep(ctx, idlePoll)
+	}
+}
+
+// handOver closes the tickets for good and gives them to one successor. It
+// returns an empty string if there is none or it did not confirm: then the
+// tickets answer unknown, and no other successor is ever tried.
+func (d *Daemon) handOver(ctx context.Context) string {
+	closed, ok := d.tickets.Close(time.Now())
+	successor := d.successor()
+	if !ok || successor == "" {
+		return ""
+	}
+	if err := d.sendHandOver(ctx, successor, closed); err != nil {
+		klog.ErrorS(err, "tickets were not handed over; they answer unknown", "successor", successor)
+		return ""
+	}
+	d.forwardTo.Store(&successor)
+	return successor
+}
+
+// amend tells the successor what became of requests that were pending.
+func (d *Daemon) amend(ctx context.Context, successor string) {
+	settled := d.tickets.Settled()
+	if successor == "" || len(settled) == 0 {
+		return
+	}
+	if err := d.sendHandOver(ctx, successor, ticketer.HandOver{Incarnation: d.incarnation, Entries: settled}); err != nil {
+		klog.ErrorS(err, "late outcomes were not handed over; they answer unknown", "successor", successor)
+	}
+}
+
+func (d *Daemon) sendHandOver(ctx context.Context, successor string, h ticketer.HandOver) error {
+	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
+	defer cancel()
+	_, err := d.linker.Peer(ctx, successor).HandOver(ctx, handOverMessage(h))
+	return err
+}
+
+// successor returns the one daemon that may take the tickets over: the first
+// of the failure domain by rendezvous hashing, or of the tier if there is none.
+func (d *Daemon) successor() string {
+	var near, all []string
+	for _, m := range d.liveDaemons() {
+		if m.GetAddress() == d.settings.Peers {
+			continue
+		}
+		all = append(all, m.GetAddress())
+		if m.GetFailureDomain() == d.settings.FailureDomain {
+			near = append(near, m.GetAddress())
+		}
+	}
+	if len(near) == 0 {
+		near = all
+	}
+	first := assigner.Top(d.incarnation, near, 1)
+	if len(first) == 0 {
+		return ""
+	}
+	return first[0]
+}
+
+func (d *Daemon) announceLeave(successor string) {
+	now := time.Now()
+	d.mu.Lock()
+	out := d.encode(now, d.members.Leave(successor))
+	d.mu.Unlock()
+	d.sendPackets(out)
+}
+
+// passToSuccessor forwards a request whose ticket was handed over.
+func (d *Daemon) passToSuccessor(ctx context.Context, message *messenger.OnceRequest) (*messenger.OnceReply, error) {
+	successor := d.forwardTo.Load()
+	if successor == nil {
+		return unknownOnce("the ticket's table is closed"), nil
+	}
+	reply, err := d.linker.Peer(ctx, *successor).Once(ctx, message)
+	if err != nil {
+		return unknownOnce("the daemon that took the ticket over did not answer"), nil
+	}
+	return reply, nil
+}
--- /dev/null
+++ b/internal/gatherer/gatherer.go
@@ -0,0 +1,409 @@
+// Package gatherer is the state machine of one query: it spreads shard
+// requests, hedges and retries them, merges replies of the pinned snapshot and
+// states the coverage. It takes typed events with a time and returns typed
+// actions; it does no input or output.
+package gatherer
+
+import (
+	"time"
+
+	"github.com/fuchsiastile/fuchsiastile/internal/planner"
+	"github.com/fuchsiastile/fuchsiastile/pkg/declarer"
+)
+
+// Outcome tells what happened to one shard request.
+type Outcome int
+
+// The outcomes of a shard request.
+const (
+	Answered Outcome = iota + 1
+	NotRun
+	Unknown
+)
+
+// Reason narrows why a shard request was not answered.
+type Reason string
+
+// The reasons that change what a query does next.
+const (
+	ReasonNone         Reason = ""
+	ReasonLate         Reason = "late"
+	ReasonNoReplica    Reason = "noReplica"
+	ReasonRefused      Reason = "refused"
+	ReasonSnapshotGone Reason = "snapshotGone"
+	ReasonBadReply     Reason = "badReply"
+	ReasonLost         Reason = "lost"
+)
+
+const (
+	// maxRestarts bounds how often a query moves to a newer snapshot.
+	maxRestarts = 2
+	// restartReserve is the time that must be left for a restart.
+	restartReserve = 10 * time.Millisecond
+	// maxAttemptsPerShard bounds the attempts at one shard, the first included.
+	maxAttemptsPerShard = 4
+)
+
+// Reply is the end of one shard request.
+type Reply struct {
+	Attempt   uint64
+	Outcome   Outcome
+	Reason    Reason
+	RequestID string
+	Snapshot  string
+	Shard     string
+	Hits      []byte
+}
+
+// Send asks for a shard request to be sent.
+type Send struct {
+	Attempt  uint64
+	Searcher string
+	Shard    string
+	Snapshot string
+	// Extra marks hedges and retries.
+	Extra bool
+}
+
+// Actions is what the surroundings must do after an event.
+type Actions struct {
+	Sends   []Send
+	Cancels []uint64
+	// Done is true once the query has ended; no action follows it.
+	Done bool
+}
+
+// Config is what a query needs from its surroundings.
+type Config struct {
+	RequestID string
+	Plan      planner.Plan
+	Class     declarer.Class
+	// Deadline is when the answer must be given.
+	Deadline time.Time
+	// HedgeDelay is how long to wait before a second attempt; zero turns hedging off.
+	HedgeDelay time.Duration
+	// NextAttempt returns an attempt id that was never used before.
+	NextAttempt func() uint64
+	// Pick chooses a replica that is not excluded.
+	Pick func(candidates []planner.Searcher, excluded []string) (string, bool)
+	// Spend takes one extra request from the shared budget.
+	Spend func() bool
+	// Replan returns the newest plan of the service.
+	Replan func() (planner.Plan, bool)
+}
+
+// attempt is one request that has not ended.
+type attempt struct {
+	id   uint64
+	sent time.Time
+}
+
+// shard is the state of one part of the pinned snapshot.
+type shard struct {
+	plan planner.Shard
+	// live holds the requests that have not ended.
+	live []attempt
+	// excluded holds every searcher that was tried.
+	excluded []string
+	attempts int
+	answered bool
+	hits     []byte
+	// missing is why the shard has no answer; it is meaningless once answered.
+	missing Reason
+	hedged  bool
+}
+
+// Query is one query under way. It is not safe for concurrent use.
+type Query struct {
+	config Config
+	shards []*shard
+	// byAttempt finds the shard of a live attempt of the current snapshot;
+	// replies to any other attempt are never merged.
+	byAttempt map[uint64]*shard
+	answered  int
+	restarts  int
+	hedgeAt   time.Time
+	done      bool
+	extra     int
+	sent      int
+	// mayHaveRun is set once a request ended other than not run.
+	mayHaveRun bool
+}
+
+// New returns a query that has sent nothing yet.
+func New(config Config) *Query {
+	q := &Query{config: config}
+	q.adopt(config.Plan)
+	return q
+}
+
+func (q *Query) adopt(plan planner.Plan) {
+	q.config.Plan = plan
+	q.shards = make([]*shard, len(plan.Shards))
+	q.byAttempt = make(map[uint64]*shard, len(plan.Shards))
+	q.answered = 0
+	for i, p := range plan.Shards {
+		q.shards[i] = &shard{plan: p, missing: ReasonNoReplica}
+	}
+}
+
+// Start sends the first attempt at every shard.
+func (q *Query) Start(now time.Time) Actions {
+	var out Actions
+	q.spread(now, &out)
+	return q.settle(now, out)
+}
+
+func (q *Query) spread(now time.Time, out *Actions) {
+	for _, s := range q.shards {
+		q.try(now, s, false, out)
+	}
+	if q.config.HedgeDelay > 0 {
+		q.hedgeAt = now.Add(q.config.HedgeDelay)
+	}
+}
+
+// try sends one more attempt at a shard, if a replica is left.
+func (q *Query) try(now time.Time, s *shard, extra bool, out *Actions) bool {
+	if s.attempts >= maxAttemptsPerShard {
+		return false
+	}
+	searcher, ok := q.config.Pick(s.plan.Candidates, s.excluded)
+	if !ok {
+		return false
+	}
+	id := q.config.NextAttempt()
+	s.attempts++
+	s.excluded = append(s.excluded, searcher)
+	s.live = append(s.live, attempt{id: id, sent: now})
+	s.missing = ReasonLate
+	q.byAttempt[id] = s
+	q.sent++
+	if extra {
+		q.extra++
+	}
+	out.Sends = append(out.Sends, Send{
+		Attempt:  id,
+		Searcher: searcher,
+		Shard:    s.plan.Name,
+		Snapshot: q.config.Plan.Snapshot,
+		Extra:    extra,
+	})
+	return true
+}
+
+// Deliver takes the end of a shard request.
+func (q *Query) Deliver(now time.Time, r Reply) Actions {
+	var out Actions
+	s, ok := q.byAttempt[r.Attempt]
+	if !ok || q.done {
+		return out
+	}
+	delete(q.byAttempt, r.Attempt)
+	s.drop(r.Attempt)
+	if r.Outcome != NotRun {
+		q.mayHaveRun = true
+	}
+	if s.answered {
+		return out
+	}
+	if r.Outcome == Answered && q.matches(s, r) {
+		q.accept(s, r, &out)
+		return q.settle(now, out)
+	}
+	s.missing = missingReason(r)
+	q.retry(now, s, &out)
+	return q.settle(now, out)
+}
+
+// matches reports whether an answer is the query's own, of its shard and snapshot.
+func (q *Query) matches(s *shard, r Reply) bool {
+	return r.RequestID == q.config.RequestID &&
+		r.Snapshot == q.config.Plan.Snapshot &&
+		r.Shard == s.plan.Name
+}
+
+func missingReason(r Reply) Reason {
+	switch {
+	case r.Outcome == Answered:
+		return ReasonBadReply
+	case r.Reason != ReasonNone:
+		return r.Reason
+	case r.Outcome == NotRun:
+		return ReasonRefused
+	default:
+		return ReasonLost
+	}
+}
+
+func (q *Query) accept(s *shard, r Reply, out *Actions) {
+	s.answered = true
+	s.hits = r.Hits
+	q.answered++
+	q.cancelLive(s, out)
+}
+
+func (q *Query) cancelLive(s *shard, out *Actions) {
+	for _, a := range s.live {
+		q.mayHaveRun = true
+		delete(q.byAttempt, a.id)
+		out.Cancels = append(out.Cancels, a.id)
+	}
+	s.live = nil
+}
+
+// retry tries another replica of a shard whose request failed, unless a hedge is still out.
+func (q *Query) retry(now time.Time, s *shard, out *Actions) {
+	if len(s.live) > 0 || !now.Before(q.config.Deadline) {
+		return
+	}
+	missing := s.missing
+	if q.config.Spend() && q.try(now, s, true, out) {
+		return
+	}
+	s.missing = missing
+	if missing == ReasonSnapshotGone {
+		q.restart(now, out)
+	}
+}
+
+// restart moves the whole query to a newer snapshot, so that no answer mixes two.
+func (q *Query) restart(now time.Time, out *Actions) {
+	if q.restarts >= maxRestarts || now.Add(restartReserve).After(q.config.Deadline) {
+		return
+	}
+	plan, ok := q.config.Replan()
+	if !ok || plan.Snapshot == q.config.Plan.Snapshot {
+		return
+	}
+	q.restarts++
+	for _, s := range q.shards {
+		q.cancelLive(s, out)
+	}
+	out.Sends = nil
+	q.adopt(plan)
+	q.spread(now, out)
+}
+
+// Wake takes the passing of time; NextWake tells when it is due.
+func (q *Query) Wake(now time.Time) Actions {
+	var out Actions
+	if q.done {
+		return out
+	}
+	if !q.hedgeAt.IsZero() && !now.Before(q.hedgeAt) {
+		q.hedge(now, &out)
+	}
+	return q.settle(now, out)
+}
+
+// hedge tries every shard that is still out a second time, as the budget allows.
+func (q *Query) hedge(now time.Time, out *Actions) {
+	q.hedgeAt = time.Time{}
+	for _, s := range q.shards {
+		if s.answered || s.hedged || len(s.live) != 1 {
+			continue
+		}
+		due := s.live[0].sent.Add(q.config.HedgeDelay)
+		if now.Before(due) {
+			q.wakeBy(due)
+			continue
+		}
+		s.hedged = true
+		if !q.config.Spend() {
+			return
+		}
+		q.try(now, s, true, out)
+	}
+}
+
+func (q *Query) wakeBy(t time.Time) {
+	if q.hedgeAt.IsZero() || t.Before(q.hedgeAt) {
+		q.hedgeAt = t
+	}
+}
+
+// NextWake returns when Wake is due next.
+func (q *Query) NextWake() time.Time {
+	if q.hedgeAt.IsZero() || q.hedgeAt.After(q.config.Deadline) {
+		return q.config.Deadline
+	}
+	return q.hedgeAt
+}
+
+// settle ends the query when nothing more can or need come.
+func (q *Query) settle(now time.Time, out Actions) Actions {
+	if !q.finished(now) {
+		return out
+	}
+	for _, s := range q.shards {
+		q.cancelLive(s, &out)
+	}
+	q.done = true
+	out.Done = true
+	return out
+}
+
+func (q *Query) finished(now time.Time) bool {
+	switch {
+	case q.answered == len(q.shards), len(q.byAttempt) == 0:
+		return true
+	case !now.Before(q.config.Deadline):
+		return true
+	case q.config.Class.Answer == declarer.AnswerQuickThin:
+		return float64(q.answered) >= q.config.Class.WantedCoverage*float64(len(q.shards))
+	default:
+		return false
+	}
+}
+
+func (s *shard) drop(id uint64) {
+	for i, a := range s.live {
+		if a.id == id {
+			s.live = append(s.live[:i], s.live[i+1:]...)
+			return
+		}
+	}
+}
+
+// Answer is the result of a query that has ended.
+type Answer struct {
+	Snapshot string
+	// Shards is the size of the pinned snapshot's partition map.
+	Shards   int
+	Answered int
+	// Missing maps each shard without an answer to the reason.
+	Missing map[string]Reason
+	// Parts holds the hits of the answered shards.
+	Parts    [][]byte
+	Restarts int
+	Sent     int
+	Extra    int
+	// MayHaveRun is false only if every request certainly was not run.
+	MayHaveRun bool
+}
+
+// Answer returns the result; the query must be done.
+func (q *Query) Answer() Answer {
+	a := Answer{
+		Snapshot: q.config.Plan.Snapshot,
+		Shards:   len(q.shards),
+		Answered: q.answered,
+		Restarts: q.restarts,
+		Sent:     q.sent,
+		Extra:    q.extra,
+
+		MayHaveRun: q.mayHaveRun,
+	}
+	for _, s := range q.shards {
+		if s.answered {
+			a.Parts = append(a.Parts, s.hits)
+			continue
+		}
+		if a.Missing == nil {
+			a.Missing = map[string]Reason{}
+		}
+		a.Missing[s.plan.Name] = s.missing
+	}
+	return a
+}
--- /dev/null
+++ b/internal/operator/operator.go
@@ -0,0 +1,239 @@
+// Package operator carries out what operators ask on the command line: check,
+// apply, diff, get, label and status.
+package operator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/dghubble/sling"
+	"k8s.io/apimachinery/pkg/labels"
+
+	"github.com/fuchsiastile/fuchsiastile/internal/daemon"
+	"github.com/fuchsiastile/fuchsiastile/internal/failer"
+	"github.com/fuchsiastile/fuchsiastile/internal/publisher"
+	"github.com/fuchsiastile/fuchsiastile/pkg/declarer"
+)
+
+// Kind is the kind of an Error.
+type Kind string
+
+// The kinds of errors of this package.
+const (
+	KindUnreadable Kind = "unreadable"
+	KindInvalid    Kind = "invalid"
+	KindAway       Kind = "daemonAway"
+)
+
+// Error is the error type of this package.
+type Error = failer.Error[Kind]
+
+// statusTimeout bounds asking one daemon for its status.
+const statusTimeout = 3 * time.Second
+
+// Client asks daemons for their status.
+var client = &http.Client{Timeout: statusTimeout}
+
+// ReadDocument reads and checks a declarations or indexes file.
+func ReadDocument(document, file string) ([]byte, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, failer.Wrap("read "+file, KindUnreadable, err)
+	}
+	var parsed any
+	switch document {
+	case declarer.DocumentDeclarations:
+		parsed, err = declarer.ParseDeclarations(file, data)
+	case declarer.DocumentIndexes:
+		parsed, err = declarer.ParseIndexes(file, data)
+	default:
+		err = failer.New("read "+file, KindInvalid, "document %q is none of declarations, indexes", document)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return json.MarshalIndent(parsed, "", "  ")
+}
+
+// Unmatched returns a warning for each selector that picks nothing from a VM list.
+func Unmatched(d declarer.Declarations, vms []declarer.VM) []string {
+	var out []string
+	for _, s := range d.Services {
+		selector, err := labels.Parse(s.Selector)
+		if err != nil || !matchesAny(selector, d, vms) {
+			out = append(out, fmt.Sprintf("service %q: selector %q matches no backend server", s.Name, s.Selector))
+		}
+	}
+	for _, r := range d.TrafficRules {
+		selector, err := labels.Parse(r.Selector)
+		matches := func(s declarer.Service) bool { return selector.Matches(labels.Set(s.Labels)) }
+		if err != nil || !slices.ContainsFunc(d.Services, matches) {
+			out = append(out, fmt.Sprintf("traffic rule %q: selector %q matches no service", r.Name, r.Selector))
+		}
+	}
+	return out
+}
+
+func matchesAny(selector labels.Selector, d declarer.Declarations, vms []declarer.VM) bool {
+	return slices.ContainsFunc(vms, func(vm declarer.VM) bool {
+		return selector.Matches(labels.Set(vm.WithLabels(d.VMLabels[vm.Name]).Labels))
+	})
+}
+
+// Diff returns the lines that differ between two documents, old ones with a
+// minus and new ones with a plus.
+func Diff(before, after []byte) []string {
+	a, b := lines(before), lines(after)
+	common := longestCommon(a, b)
+	var out []string
+	for len(a) > 0 || len(b) > 0 {
+		switch {
+		case len(common) > 0 && len(a) > 0 && len(b) > 0 && a[0] == common[0] && b[0] == common[0]:
+			a, b, common = a[1:], b[1:], common[1:]
+		case len(a) > 0 && (len(common) == 0 || a[0] != common[0]):
+			out = append(out, "-"+a[0])
+			a = a[1:]
+		default:
+			out = append(out, "+"+b[0])
+			b = b[1:]
+		}
+	}
+	return out
+}
+
+func lines(document []byte) []string {
+	var indented bytes.Buffer
+	if json.Indent(&indented, document, "", "  ") != nil {
+		return strings.Split(string(document), "\n")
+	}
+	return strings.Split(indented.String(), "\n")
+}
+
+// longestCommon returns the longest common subsequence of two lists of lines.
+func longestCommon(a, b []string) []string {
+	lengths := make([][]int, len(a)+1)
+	for i := range lengths {
+		lengths[i] = make([]int, len(b)+1)
+	}
+	for i := len(a) - 1; i >= 0; i-- {
+		for j := len(b) - 1; j >= 0; j-- {
+			if a[i] == b[j] {
+				lengths[i][j] = lengths[i+1][j+1] + 1
+			} else {
+				lengths[i][j] = max(lengths[i+1][j], lengths[i][j+1])
+			}
+		}
+	}
+	var out []string
+	for i, j := 0, 0; i < len(a) && j < len(b); {
+		switch {
+		case a[i] == b[j]:
+			out = append(out, a[i])
+			i, j = i+1, j+1
+		case lengths[i+1][j] >= lengths[i][j+1]:
+			i++
+		default:
+			j++
+		}
+	}
+	return out
+}
+
+// Status asks daemons, by their operators' addresses, for their status.
+func Status(ctx context.Context, addresses []string) ([]daemon.Status, error) {
+	var out []daemon.Status
+	for _, address := range addresses {
+		var status daemon.Status
+		request, err := sling.New().Get("http://" + address + "/status").Request()
+		if err != nil {
+			return out, failer.Wrap("ask "+address, KindInvalid, err)
+		}
+		response, err := client.Do(request.WithContext(ctx))
+		if err != nil {
+			return out, failer.Wrap("ask "+address, KindAway, err)
+		}
+		err = json.NewDecoder(response.Body).Decode(&status)
+		_ = response.Body.Close()
+		if err != nil {
+			return out, failer.Wrap("ask "+address, KindAway, err)
+		}
+		out = append(out, status)
+	}
+	return out, nil
+}
+
+// Highest returns the highest generation of a document that any daemon has in force.
+func Highest(statuses []daemon.Status, document string) uint64 {
+	var highest uint64
+	for _, s := range statuses {
+		highest = max(highest, s.Documents[document].Generation)
+	}
+	return highest
+}
+
+// Apply makes checked content the next generation of a document. On a conflict
+// it writes what the other change was.
+func Apply(ctx context.Context, store publisher.Store, document string, content []byte, atLeast uint64, out io.Writer) (declarer.Head, error) {
+	base, err := store.Read(ctx, document)
+	if err != nil {
+		return declarer.Head{}, err
+	}
+	head, err := store.Apply(ctx, document, base, content, atLeast)
+	if failer.Is(err, publisher.KindConflict) {
+		showConflict(ctx, store, document, base, out)
+	}
+	return head, err
+}
+
+func showConflict(ctx context.Context, store publisher.Store, document string, base publisher.Current, out io.Writer) {
+	theirs, err := store.Read(ctx, document)
+	if err != nil {
+		return
+	}
+	_, _ = fmt.Fprintf(out, "the other change, generation %d:\n", theirs.Head.Generation)
+	for _, line := range Diff(base.Content, theirs.Content) {
+		_, _ = fmt.Fprintln(out, line)
+	}
+}
+
+// Label adds labels to a service or to a VM in declarations; a value of "-"
+// removes one. Exactly one of service and vm is given.
+func Label(d declarer.Declarations, service, vm string, set map[string]string) (declarer.Declarations, error) {
+	if vm != "" {
+		if d.VMLabels == nil {
+			d.VMLabels = map[string]map[string]string{}
+		}
+		d.VMLabels[vm] = merged(d.VMLabels[vm], set)
+		return d, nil
+	}
+	for i, s := range d.Services {
+		if s.Name == service {
+			d.Services[i].Labels = merged(s.Labels, set)
+			return d, nil
+		}
+	}
+	return d, failer.New("label", KindInvalid, "no service %q is declared", service)
+}
+
+func merged(old, set map[string]string) map[string]string {
+	out := map[string]string{}
+	for key, value := range old {
+		out[key] = value
+	}
+	for key, value := range set {
+		if value == "-" {
+			delete(out, key)
+			continue
+		}
+		out[key] = value
+	}
+	return out
+}
--- /dev/null
+++ b/internal/picker/picker.go
@@ -0,0 +1,305 @@
+// Package picker chooses the replica of a shard that a request goes to, from
+// what replies reported of each backend server. It does no input or output.
+package picker
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/fuchsiastile/fuchsiastile/internal/framer"
+	"github.com/fuchsiastile/fuchsiastile/internal/planner"
+	"github.com/fuchsiastile/fuchsiastile/pkg/declarer"
+)
+
+const (
+	// defaultService is the service time assumed of a server that has not answered yet.
+	defaultService = 5 * time.Millisecond
+	// domainDistance and regionDistance are round trips that a farther replica costs.
+	domainDistance = 2 * time.Millisecond
+	regionDistance = 24 * time.Millisecond
+	// serviceSmoothing is the weight of a new service time in the average.
+	serviceSmoothing = 0.1
+	// loadLifetime is how long a reported load counts.
+	loadLifetime = time.Second
+	// ejectAfter is how many failures in a row eject a server.
+	ejectAfter = 3
+	// ejectTime is how long the first ejection lasts; each further one doubles it.
+	ejectTime = time.Second
+	// maxEjectTime bounds an ejection.
+	maxEjectTime = 30 * time.Second
+	// drainMemory is how long a server that said it is leaving is avoided.
+	drainMemory = 10 * time.Minute
+	// backoffTime is how long a server that shed a request is avoided.
+	backoffTime = 20 * time.Millisecond
+)
+
+// Policy names a way of choosing.
+type Policy string
+
+// The policies; random is kept as a baseline.
+const (
+	PolicyLoadAware Policy = "loadAware"
+	PolicyRandom    Policy = "random"
+)
+
+// Config is where the chooser stands and how it chooses.
+type Config struct {
+	FailureDomain string
+	Region        string
+	Policy        Policy
+	Rand          *rand.Rand
+}
+
+// server is what is known of one backend server.
+type server struct {
+	// outstanding counts this daemon's unanswered requests; never negative.
+	outstanding int
+	// service is the smoothed time from sending to reply, without the reported queue.
+	service time.Duration
+	load    framer.Load
+	loadAt  time.Time
+	// failures counts failures in a row.
+	failures     int
+	ejections    int
+	ejectedUntil time.Time
+	backoffUntil time.Time
+	// drainingAt is zero unless the server said that it is leaving.
+	drainingAt time.Time
+}
+
+// Picker chooses replicas. It is safe for concurrent use.
+type Picker struct {
+	mu      sync.Mutex
+	config  Config
+	servers map[string]*server
+}
+
+// New returns a picker that knows nothing of any server.
+func New(config Config) *Picker {
+	return &Picker{config: config, servers: map[string]*server{}}
+}
+
+// Pick returns the best candidate within the rule's locality that is not
+// excluded, and counts a request as outstanding at it.
+func (p *Picker) Pick(now time.Time, rule declarer.TrafficRule, candidates []planner.Searcher, excluded []string) (string, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	usable := p.usable(now, rule, candidates, excluded)
+	if len(usable) == 0 {
+		return "", false
+	}
+	best := usable[p.config.Rand.IntN(len(usable))]
+	if p.config.Policy == PolicyLoadAware {
+		best = p.leastCost(now, usable, best)
+	}
+	p.get(best.Address).outstanding++
+	return best.Address, true
+}
+
+// Settle ends a request that Pick counted.
+func (p *Picker) Settle(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.get(address)
+	s.outstanding = max(0, s.outstanding-1)
+}
+
+// Answered learns from a whole reply.
+func (p *Picker) Answered(now time.Time, address string, took time.Duration, load framer.Load) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.get(address)
+	s.failures = 0
+	s.ejections = 0
+	s.noteLoad(now, load)
+	took = withoutQueue(took, load)
+	if s.service == 0 {
+		s.service = took
+		return
+	}
+	s.service += time.Duration(serviceSmoothing * float64(took-s.service))
+}
+
+// withoutQueue takes the reported queue out of a measured time.
+func withoutQueue(took time.Duration, load framer.Load) time.Duration {
+	waiting := load.InFlight + load.Queued
+	if load.Slots == 0 || waiting <= load.Slots {
+		return took
+	}
+	return took * time.Duration(load.Slots) / time.Duration(waiting)
+}
+
+// Outran learns from a request that was given up after the elapsed time, since
+// another replica was faster; without it a straggler would never look slow.
+func (p *Picker) Outran(address string, elapsed time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.get(address)
+	if elapsed > s.service {
+		s.service += time.Duration(serviceSmoothing * float64(elapsed-s.service))
+	}
+}
+
+// Refused learns from a server that did not run a request for lack of room.
+func (p *Picker) Refused(now time.Time, address string, load framer.Load) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.get(address)
+	s.noteLoad(now, load)
+	s.backoffUntil = now.Add(backoffTime)
+}
+
+// Failed learns from a request that got no usable reply.
+func (p *Picker) Failed(now time.Time, address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.get(address)
+	s.failures++
+	if s.failures < ejectAfter {
+		return
+	}
+	span := min(ejectTime<<min(s.ejections, 8), maxEjectTime)
+	s.ejections++
+	s.failures = 0
+	s.ejectedUntil = now.Add(span)
+}
+
+// Draining marks a server that said it is leaving, since the given time.
+// It reports whether that is news.
+func (p *Picker) Draining(since time.Time, address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.get(address)
+	if !s.drainingAt.IsZero() {
+		return false
+	}
+	s.drainingAt = since
+	return true
+}
+
+// DrainingServers returns when each server that is leaving said so.
+func (p *Picker) DrainingServers(now time.Time) map[string]time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := map[string]time.Time{}
+	for address, s := range p.servers {
+		if s.isDraining(now) {
+			out[address] = s.drainingAt
+		}
+	}
+	return out
+}
+
+// IsDraining reports whether a server said that it is leaving.
+func (p *Picker) IsDraining(now time.Time, address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.get(address).isDraining(now)
+}
+
+func (s *server) isDraining(now time.Time) bool {
+	return !s.drainingAt.IsZero() && now.Sub(s.drainingAt) < drainMemory
+}
+
+func (s *server) noteLoad(now time.Time, load framer.Load) {
+	if load.Slots == 0 {
+		return
+	}
+	s.load = load
+	s.loadAt = now
+}
+
+func (p *Picker) get(address string) *server {
+	s, ok := p.servers[address]
+	if !ok {
+		s = &server{}
+		p.servers[address] = s
+	}
+	return s
+}
+
+// usable returns the candidates that may be tried. Ejected and backed-off
+// servers come back when they are all that is left, so that ejection never
+// removes the last replica of a shard.
+func (p *Picker) usable(now time.Time, rule declarer.TrafficRule, candidates []planner.Searcher, excluded []string) []planner.Searcher {
+	var usable, spare []planner.Searcher
+	for _, c := range candidates {
+		if slices.Contains(excluded, c.Address) || !p.within(rule.Locality, c) {
+			continue
+		}
+		s := p.get(c.Address)
+		switch {
+		case s.isDraining(now):
+		case now.Before(s.ejectedUntil) || now.Before(s.backoffUntil):
+			spare = append(spare, c)
+		default:
+			usable = append(usable, c)
+		}
+	}
+	if len(usable) == 0 {
+		return spare
+	}
+	return usable
+}
+
+func (p *Picker) within(locality declarer.Locality, c planner.Searcher) bool {
+	switch locality {
+	case declarer.LocalityFailureDomain:
+		return c.FailureDomain == p.config.FailureDomain
+	case declarer.LocalityRegion:
+		return c.Region == p.config.Region
+	case declarer.LocalityAny:
+		return true
+	default:
+		return true
+	}
+}
+
+// leastCost returns the usable server with the least expected time; first breaks ties.
+func (p *Picker) leastCost(now time.Time, usable []planner.Searcher, first planner.Searcher) planner.Searcher {
+	best, bestCost := first, p.cost(now, first)
+	for _, c := range usable {
+		if cost := p.cost(now, c); cost < bestCost {
+			best, bestCost = c, cost
+		}
+	}
+	return best
+}
+
+// cost is the expected time of one more request at c: distance, queue and service.
+func (p *Picker) cost(now time.Time, c planner.Searcher) time.Duration {
+	s := p.get(c.Address)
+	service := s.service
+	if service == 0 {
+		service = defaultService
+	}
+	busy, slots := s.outstanding, max(1, s.load.Slots)
+	if now.Sub(s.loadAt) < loadLifetime {
+		busy = max(busy, s.load.InFlight+s.load.Queued)
+	}
+	return p.distance(c) + service + service*time.Duration(busy)/time.Duration(slots)
+}
+
+func (p *Picker) distance(c planner.Searcher) time.Duration {
+	switch {
+	case c.FailureDomain == p.config.FailureDomain:
+		return 0
+	case c.Region == p.config.Region:
+		return domainDistance
+	default:
+		return regionDistance
+	}
+}
+
+// Forget drops what is known of servers that are not in keep.
+func (p *Picker) Forget(keep map[string]bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, s := range p.servers {
+		if !keep[address] && s.outstanding == 0 {
+			delete(p.servers, address)
+		}
+	}
+}
--- /dev/null
+++ b/internal/sender/sender.go
@@ -0,0 +1,438 @@
+// Package sender is the gateway's side towards backend servers: a lane with a
+// bounded queue and a connection budget for each, and HTTP requests whose
+// replies are checked for identity, snapshot and wholeness.
+package sender
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/puzpuzpuz/xsync/v4"
+
+	"github.com/fuchsiastile/fuchsiastile/internal/admitter"
+	"github.com/fuchsiastile/fuchsiastile/internal/dialer"
+	"github.com/fuchsiastile/fuchsiastile/internal/framer"
+	"github.com/fuchsiastile/fuchsiastile/internal/messenger"
+)
+
+const (
+	// maxReplyBytes is the largest reply that is read from a backend server.
+	maxReplyBytes = 4 << 20
+	// dialTimeout bounds the time for a new connection.
+	dialTimeout = 500 * time.Millisecond
+	// idleTimeout is how long an unused connection is kept.
+	idleTimeout = 90 * time.Second
+)
+
+// Deliver takes the end of a shard request. It must not block.
+type Deliver func(*messenger.ShardResult)
+
+// Config is what a gateway needs from its surroundings.
+type Config struct {
+	Network dialer.Network
+	// Budget returns how many connections this daemon may hold to a searcher;
+	// zero means that it is not a gateway of it.
+	Budget func(searcher string) int
+	// Draining reports whether a searcher said that it is leaving.
+	Draining func(searcher string) bool
+	// OnDraining is told of a searcher that says so first-hand.
+	OnDraining func(searcher string)
+	// QueueLimit is how many requests may wait for one searcher.
+	QueueLimit int
+	// Adaptive turns adaptive concurrency on.
+	Adaptive bool
+}
+
+// call is one shard request at this gateway.
+type call struct {
+	batch    *messenger.QueryBatch
+	searcher string
+	shard    string
+	attempt  uint64
+	deadline time.Time
+	deliver  Deliver
+	lane     *lane
+	// cancel ends the request once it was sent; it is set under the lane's lock.
+	cancel context.CancelFunc
+	// cancelled is set, under the lane's lock, when the entry gave the request up.
+	cancelled bool
+}
+
+// lane is the queue and the connections to one searcher.
+type lane struct {
+	mu        sync.Mutex
+	core      *admitter.Lane[*call]
+	budget    int
+	transport *http.Transport
+	url       string
+}
+
+// Sender holds the lanes of a gateway.
+type Sender struct {
+	config Config
+	lanes  *xsync.Map[string, *lane]
+	calls  *xsync.Map[uint64, *call]
+	// active counts calls that were submitted and have not ended.
+	active atomic.Int64
+	// sent counts requests that reached the wire.
+	sent atomic.Int64
+}
+
+// New returns a sender without connections.
+func New(config Config) *Sender {
+	return &Sender{
+		config: config,
+		lanes:  xsync.NewMap[string, *lane](),
+		calls:  xsync.NewMap[uint64, *call](),
+	}
+}
+
+// Active returns how many calls have not ended.
+func (s *Sender) Active() int64 { return s.active.Load() }
+
+// Sent returns how many requests were sent to backend servers.
+func (s *Sender) Sent() int64 { return s.sent.Load() }
+
+// Submit takes all calls of a batch; each ends with exactly one Deliver.
+func (s *Sender) Submit(batch *messenger.QueryBatch, deliver Deliver) {
+	now := time.Now()
+	deadline := now.Add(time.Duration(batch.GetRemainingMicros()) * time.Microsecond)
+	for _, c := range batch.GetCalls() {
+		s.active.Add(1)
+		s.submit(now, &call{
+			batch:    batch,
+			searcher: c.GetSearcher(),
+			shard:    c.GetShard(),
+			attempt:  c.GetAttempt(),
+			deadline: deadline,
+			deliver:  deliver,
+		})
+	}
+}
+
+func (s *Sender) submit(now time.Time, c *call) {
+	if s.config.Draining(c.searcher) {
+		s.end(c, notRun(messenger.Reason_DRAINING))
+		return
+	}
+	l, ok := s.lane(c.searcher)
+	if !ok {
+		s.end(c, notRun(messenger.Reason_NOT_GATEWAY))
+		return
+	}
+	c.lane = l
+	s.calls.Store(c.attempt, c)
+	l.mu.Lock()
+	l.core.Open()
+	decisions := l.core.Offer(now, admitter.Item[*call]{
+		Attempt:  c.attempt,
+		Priority: int(c.batch.GetPriority()),
+		Deadline: c.deadline,
+		Value:    c,
+	})
+	l.mu.Unlock()
+	s.carryOut(decisions)
+}
+
+// lane returns the lane of a searcher, made anew when its budget has changed.
+func (s *Sender) lane(searcher string) (*lane, bool) {
+	budget := s.config.Budget(searcher)
+	if budget == 0 {
+		return nil, false
+	}
+	if l, ok := s.lanes.Load(searcher); ok && l.budget == budget {
+		return l, true
+	}
+	made := newLane(searcher, budget, s.config)
+	l, _ := s.lanes.Compute(searcher, func(old *lane, loaded bool) (*lane, xsync.ComputeOp) {
+		if loaded && old.budget == budget {
+			return old, xsync.CancelOp
+		}
+		return made, xsync.UpdateOp
+	})
+	return l, true
+}
+
+func newLane(searcher string, budget int, config Config) *lane {
+	return &lane{
+		budget: budget,
+		url:    "http://" + searcher + framer.Path,
+		core: admitter.New[*call](admitter.Config{
+			MaxConcurrency: budget,
+			QueueLimit:     config.QueueLimit,
+			Adaptive:       config.Adaptive,
+		}),
+		transport: &http.Transport{
+			DialContext:         dialWithin(config.Network),
+			MaxConnsPerHost:     budget,
+			MaxIdleConnsPerHost: budget,
+			IdleConnTimeout:     idleTimeout,
+			DisableCompression:  true,
+		},
+	}
+}
+
+// dialWithin bounds the time for a new connection.
+func dialWithin(network dialer.Network) func(ctx context.Context, kind, address string) (net.Conn, error) {
+	return func(ctx context.Context, kind, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+		defer cancel()
+		return network.Dial(ctx, kind, address)
+	}
+}
+
+// Cancel gives up calls by their attempts. A waiting one ends as not run; one
+// that was sent is cancelled at the server.
+func (s *Sender) Cancel(attempts []uint64) {
+	for _, attempt := range attempts {
+		c, ok := s.calls.Load(attempt)
+		if !ok || c.batch.GetOnce() {
+			continue
+		}
+		s.cancel(c)
+	}
+}
+
+func (s *Sender) cancel(c *call) {
+	c.lane.mu.Lock()
+	decision, waiting := c.lane.core.Cancel(c.attempt)
+	c.cancelled = true
+	cancel := c.cancel
+	c.lane.mu.Unlock()
+	switch {
+	case waiting:
+		s.carryOut([]admitter.Decision[*call]{decision})
+	case cancel != nil:
+		cancel()
+	}
+}
+
+// Drain returns everything that waits for a searcher as not run and keeps new work from it.
+func (s *Sender) Drain(searcher string) {
+	l, ok := s.lanes.Load(searcher)
+	if !ok {
+		return
+	}
+	l.mu.Lock()
+	decisions := l.core.Close(admitter.RefusedDraining)
+	l.mu.Unlock()
+	s.carryOut(decisions)
+	l.transport.CloseIdleConnections()
+}
+
+// Forget closes the lanes of searchers that this daemon is no gateway of any more.
+func (s *Sender) Forget() {
+	s.lanes.Range(func(searcher string, l *lane) bool {
+		if s.config.Budget(searcher) > 0 {
+			return true
+		}
+		s.lanes.Delete(searcher)
+		l.mu.Lock()
+		decisions := l.core.Close(admitter.RefusedStopping)
+		l.mu.Unlock()
+		s.carryOut(decisions)
+		l.transport.CloseIdleConnections()
+		return true
+	})
+}
+
+func (s *Sender) carryOut(decisions []admitter.Decision[*call]) {
+	for _, d := range decisions {
+		c := d.Item.Value
+		if d.Refusal == admitter.RefusedNone {
+			go s.send(c)
+			continue
+		}
+		s.end(c, notRun(reasonOf(d.Refusal)))
+	}
+}
+
+func reasonOf(r admitter.Refusal) messenger.Reason {
+	switch r {
+	case admitter.RefusedFull:
+		return messenger.Reason_QUEUE_FULL
+	case admitter.RefusedLate:
+		return messenger.Reason_TOO_LATE
+	case admitter.RefusedDraining:
+		return messenger.Reason_DRAINING
+	case admitter.RefusedCancelled:
+		return messenger.Reason_CANCELLED
+	case admitter.RefusedStopping:
+		return messenger.Reason_STOPPING
+	case admitter.RefusedNone:
+		return messenger.Reason_REASON_UNSPECIFIED
+	default:
+		return messenger.Reason_REASON_UNSPECIFIED
+	}
+}
+
+// send carries one call to its searcher and back.
+func (s *Sender) send(c *call) {
+	ctx, cancel := context.WithDeadline(context.Background(), c.deadline)
+	defer cancel()
+	c.lane.mu.Lock()
+	c.cancel = cancel
+	given := c.cancelled
+	c.lane.mu.Unlock()
+	if given {
+		cancel()
+	}
+	started := time.Now()
+	result := s.roundTrip(ctx, c)
+	took := time.Since(started)
+	result.ServiceMicros = took.Microseconds()
+	if result.GetOutcome() != messenger.Outcome_ANSWERED {
+		took = 0
+	}
+	shed := result.GetReason() == messenger.Reason_SHED
+	c.lane.mu.Lock()
+	decisions := c.lane.core.Done(time.Now(), took, shed)
+	result.GatewayQueued = int32(c.lane.core.Queued())
+	c.lane.mu.Unlock()
+	s.end(c, result)
+	s.carryOut(decisions)
+	if result.GetDraining() {
+		s.config.OnDraining(c.searcher)
+		s.Drain(c.searcher)
+	}
+}
+
+// end delivers the one result of a call.
+func (s *Sender) end(c *call, result *messenger.ShardResult) {
+	result.Attempt = c.attempt
+	result.Shard = c.shard
+	s.calls.Delete(c.attempt)
+	c.deliver(result)
+	s.active.Add(-1)
+}
+
+func notRun(reason messenger.Reason) *messenger.ShardResult {
+	return &messenger.ShardResult{Outcome: messenger.Outcome_NOT_RUN, Reason: reason}
+}
+
+func unknown(reason messenger.Reason) *messenger.ShardResult {
+	return &messenger.ShardResult{Outcome: messenger.Outcome_UNKNOWN, Reason: reason}
+}
+
+// roundTrip makes one HTTP request. The body has no GetBody and the request no
+// Idempotency-Key, so that the HTTP client never sends it a second time.
+func (s *Sender) roundTrip(ctx context.Context, c *call) *messenger.ShardResult {
+	request := framer.Request{
+		RequestID: c.batch.GetRequestId(),
+		Attempt:   c.attempt,
+		Snapshot:  c.batch.GetSnapshot(),
+		Shard:     c.shard,
+		Remaining: time.Until(c.deadline),
+		Once:      c.batch.GetOnce(),
+	}
+	onWire := &atomic.Bool{}
+	if request.Once {
+		ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+			GotConn: func(httptrace.GotConnInfo) { onWire.Store(true) },
+		})
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, c.lane.url, bytes.NewReader(c.batch.GetBody()))
+	if err != nil {
+		return notRun(messenger.Reason_CONNECT_FAILED)
+	}
+	r.GetBody = nil
+	request.Stamp(r.Header)
+	s.sent.Add(1)
+	response, err := c.lane.transport.RoundTrip(r)
+	if err != nil {
+		return failure(err, request.Once && !onWire.Load())
+	}
+	defer func() { _ = response.Body.Close() }()
+	return s.read(c, request, response)
+}
+
+// failure classifies a request without a reply. It is not run only if no
+// connection ever carried it.
+func failure(err error, neverOnWire bool) *messenger.ShardResult {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return notRun(messenger.Reason_CONNECT_FAILED)
+	}
+	if neverOnWire {
+		return notRun(messenger.Reason_TOO_LATE)
+	}
+	if errors.Is(err, context.Canceled) {
+		return unknown(messenger.Reason_CANCELLED)
+	}
+	if errors.Is(err, context.DeadlineExceeded) {
+		return unknown(messenger.Reason_TOO_LATE)
+	}
+	return unknown(messenger.Reason_LINK_LOST)
+}
+
+// read checks a reply. One that is not the request's own closes its connection.
+func (s *Sender) read(c *call, request framer.Request, response *http.Response) *messenger.ShardResult {
+	h := response.Header
+	load := framer.ParseLoad(h.Get(framer.HeaderLoad))
+	out := &messenger.ShardResult{
+		Load:     &messenger.Load{Slots: int32(load.Slots), InFlight: int32(load.InFlight), Queued: int32(load.Queued)},
+		Draining: h.Get(framer.HeaderDraining) == "true",
+	}
+	if refusal := framer.Refusal(h.Get(framer.HeaderRefusal)); response.StatusCode == http.StatusServiceUnavailable && refusal != "" {
+		return s.refused(out, refusal, h.Get(framer.HeaderNewer))
+	}
+	if response.StatusCode != http.StatusOK || !request.Echoes(h) {
+		return bad(out)
+	}
+	hits, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes+1))
+	if err != nil || len(hits) > maxReplyBytes {
+		return bad(out)
+	}
+	if framer.Digest(hits) != h.Get(framer.HeaderDigest) {
+		c.lane.transport.CloseIdleConnections()
+		return bad(out)
+	}
+	out.Outcome = messenger.Outcome_ANSWERED
+	out.RequestId = request.RequestID
+	out.Snapshot = request.Snapshot
+	out.Hits = hits
+	return out
+}
+
+func bad(out *messenger.ShardResult) *messenger.ShardResult {
+	out.Outcome = messenger.Outcome_UNKNOWN
+	out.Reason = messenger.Reason_BAD_REPLY
+	return out
+}
+
+// refused is the server's own word that it did not run the request.
+func (s *Sender) refused(out *messenger.ShardResult, refusal framer.Refusal, newer string) *messenger.ShardResult {
+	out.Outcome = messenger.Outcome_NOT_RUN
+	switch refusal {
+	case framer.RefusedShed:
+		out.Reason = messenger.Reason_SHED
+	case framer.RefusedDraining:
+		out.Reason = messenger.Reason_DRAINING
+		out.Draining = true
+	case framer.RefusedSnapshot:
+		out.Reason = messenger.Reason_SNAPSHOT_GONE
+		out.NewerSnapshot = newer
+	case framer.RefusedLate:
+		out.Reason = messenger.Reason_TOO_LATE
+	default:
+		out.Outcome = messenger.Outcome_UNKNOWN
+		out.Reason = messenger.Reason_BAD_REPLY
+	}
+	return out
+}
+
+// Close ends every connection.
+func (s *Sender) Close() {
+	s.lanes.Range(func(_ string, l *lane) bool {
+		l.transport.CloseIdleConnections()
+		return true
+	})
+}
--- /dev/null
+++ b/internal/ticketer/ticketer.go
@@ -0,0 +1,379 @@
+// Package ticketer keeps the tickets of non-idempotent requests, so that each
+// runs at most once. It does no input or output.
+//
+// A ticket names the incarnation that issued it, and only that incarnation, or
+// the one successor that it handed its closed table to, may send the request
+// on. No store, lease or clock of another process is involved.
+package ticketer
+
+import (
+	"bytes"
+	"crypto/hmac"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/base64"
+	"encoding/binary"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/fuchsiastile/fuchsiastile/internal/failer"
+)
+
+// Kind is the kind of an Error.
+type Kind string
+
+// The kinds of errors of this package.
+const (
+	// KindMalformed means that the text is no ticket of ours.
+	KindMalformed Kind = "ticketMalformed"
+	// KindNotOwner means that another incarnation owns the ticket.
+	KindNotOwner Kind = "ticketNotOwned"
+	// KindExpired means that the ticket's fate is no longer kept.
+	KindExpired Kind = "ticketExpired"
+	// KindReused means that the ticket was used for another request.
+	KindReused Kind = "ticketReused"
+	// KindFull means that no more tickets can be remembered.
+	KindFull Kind = "ticketTableFull"
+	// KindClosed means that the table is closed and handed over.
+	KindClosed Kind = "ticketTableClosed"
+)
+
+// Error is the error type of this package.
+type Error = failer.Error[Kind]
+
+const (
+	// macBytes is the length of the code that shows who issued a ticket.
+	macBytes = 12
+	// ticketVersion starts every ticket.
+	ticketVersion = "t1"
+)
+
+// Ticket is the parsed form of a ticket.
+type Ticket struct {
+	// Incarnation names the daemon process that issued the ticket.
+	Incarnation string
+	Sequence    uint64
+	// Expires is the age of the issuing incarnation at which the ticket ends.
+	Expires time.Duration
+	mac     []byte
+}
+
+// State is where a used ticket stands.
+type State int
+
+// The states of a used ticket.
+const (
+	// StatePending means that the request was passed on and has not ended.
+	StatePending State = iota + 1
+	// StateAnswered means that the request ran and its answer is kept.
+	StateAnswered
+	// StateUnknown means that the request may have run; it is never sent again.
+	StateUnknown
+)
+
+// Result is what is kept of a request that ended.
+type Result struct {
+	Detail   string
+	Snapshot string
+	Hits     []byte
+}
+
+// Entry is one used ticket.
+type Entry struct {
+	Sequence uint64
+	// Digest is of the request that the ticket was first used for.
+	Digest uint64
+	State  State
+	Result Result
+	// expires is the age of the issuing incarnation at which the entry is dropped.
+	expires time.Duration
+	// done is closed when the request ends.
+	done chan struct{}
+}
+
+// Config bounds a table.
+type Config struct {
+	Incarnation string
+	Secret      []byte
+	// Started is when the incarnation began, by its own monotonic clock.
+	Started time.Time
+	// Lifetime is how long a ticket lives.
+	Lifetime time.Duration
+	// Capacity is how many used tickets are kept at most.
+	Capacity int
+}
+
+// Table holds the used tickets of one incarnation. It is safe for concurrent use.
+type Table struct {
+	config Config
+
+	mu      sync.Mutex
+	next    uint64
+	entries map[uint64]*Entry
+	// order holds sequences in order of first use; entries leave from its front.
+	order []uint64
+	// closed is set once, before a hand-over, and never cleared.
+	closed bool
+}
+
+// New returns an empty table.
+func New(config Config) *Table {
+	return &Table{config: config, entries: map[uint64]*Entry{}}
+}
+
+// Issue returns a fresh ticket.
+func (t *Table) Issue(now time.Time) (string, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.closed {
+		return "", failer.New("issue ticket", KindClosed, "this daemon is stopping")
+	}
+	t.next++
+	ticket := Ticket{
+		Incarnation: t.config.Incarnation,
+		Sequence:    t.next,
+		Expires:     t.age(now) + t.config.Lifetime,
+	}
+	ticket.mac = ticket.sign(t.config.Secret)
+	return ticket.String(), nil
+}
+
+func (t *Table) age(now time.Time) time.Duration {
+	return now.Sub(t.config.Started)
+}
+
+// Begin claims a ticket for a request. First is true for the one call that may
+// send the request on; every other call waits for Entry.Done.
+func (t *Table) Begin(now time.Time, ticket Ticket, request []byte) (entry *Entry, first bool, err error) {
+	const op = "use ticket"
+	if err := t.verify(ticket); err != nil {
+		return nil, false, err
+	}
+	digest := xxhash.Sum64(request)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.expire(now)
+	if entry, ok := t.entries[ticket.Sequence]; ok {
+		if entry.Digest != digest {
+			return nil, false, failer.New(op, KindReused, "the ticket was used for another request")
+		}
+		return entry, false, nil
+	}
+	switch {
+	case t.closed:
+		return nil, false, failer.New(op, KindClosed, "the ticket's table was handed over")
+	case t.age(now) >= ticket.Expires:
+		return nil, false, failer.New(op, KindExpired, "the ticket has expired")
+	case len(t.entries) >= t.config.Capacity:
+		return nil, false, failer.New(op, KindFull, "%d tickets are in use", len(t.entries))
+	}
+	entry = &Entry{Sequence: ticket.Sequence, Digest: digest, State: StatePending, expires: ticket.Expires, done: make(chan struct{})}
+	t.entries[entry.Sequence] = entry
+	t.order = append(t.order, entry.Sequence)
+	return entry, true, nil
+}
+
+func (t *Table) verify(ticket Ticket) error {
+	if ticket.Incarnation != t.config.Incarnation {
+		return failer.New("verify ticket", KindNotOwner, "incarnation %s issued it", ticket.Incarnation)
+	}
+	if subtle.ConstantTimeCompare(ticket.mac, ticket.sign(t.config.Secret)) != 1 {
+		return failer.New("verify ticket", KindMalformed, "this daemon did not issue it")
+	}
+	return nil
+}
+
+// expire drops entries whose tickets have ended, oldest first.
+func (t *Table) expire(now time.Time) {
+	age := t.age(now)
+	for len(t.order) > 0 {
+		entry, ok := t.entries[t.order[0]]
+		if ok && (age < entry.expires || entry.State == StatePending) {
+			return
+		}
+		delete(t.entries, t.order[0])
+		t.order = t.order[1:]
+	}
+}
+
+// Finish records how the request of an entry ended: answered, or unknown.
+func (t *Table) Finish(entry *Entry, state State, result Result) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if entry.State != StatePending {
+		return
+	}
+	entry.State = state
+	entry.Result = result
+	close(entry.done)
+}
+
+// Release gives a ticket back whose request was certainly not run, so that a
+// retry may send it. The entry stays pending for those that still look at it.
+func (t *Table) Release(entry *Entry, result Result) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if entry.State != StatePending {
+		return
+	}
+	entry.Result = result
+	delete(t.entries, entry.Sequence)
+	for i, sequence := range t.order {
+		if sequence == entry.Sequence {
+			t.order = append(t.order[:i], t.order[i+1:]...)
+			break
+		}
+	}
+	close(entry.done)
+}
+
+// Done is closed when the request of the entry has ended or was released.
+func (e *Entry) Done() <-chan struct{} { return e.done }
+
+// Look returns the state and result of an entry.
+func (t *Table) Look(entry *Entry) (State, Result) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return entry.State, entry.Result
+}
+
+// Len returns how many used tickets are kept.
+func (t *Table) Len() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.entries)
+}
+
+// HandOver is a closed table on its way to its only successor.
+type HandOver struct {
+	Incarnation string
+	Secret      []byte
+	// Age is the incarnation's age when it closed.
+	Age     time.Duration
+	Entries []Entry
+}
+
+// Close closes the table for good and returns it for one successor. Requests
+// still pending become unknown in the copy. Only the first call returns ok.
+func (t *Table) Close(now time.Time) (HandOver, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.closed {
+		return HandOver{}, false
+	}
+	t.closed = true
+	out := HandOver{Incarnation: t.config.Incarnation, Secret: t.config.Secret, Age: t.age(now)}
+	for _, sequence := range t.order {
+		entry, ok := t.entries[sequence]
+		if !ok {
+			continue
+		}
+		copied := Entry{Sequence: entry.Sequence, Digest: entry.Digest, State: entry.State, Result: entry.Result}
+		if copied.State == StatePending {
+			copied.State = StateUnknown
+		}
+		out.Entries = append(out.Entries, copied)
+	}
+	return out, true
+}
+
+// Adopt returns the table of an incarnation that handed over to this daemon.
+// Entries live for one more whole lifetime, which is never shorter than theirs.
+func Adopt(now time.Time, h HandOver, lifetime time.Duration, capacity int) *Table {
+	t := New(Config{
+		Incarnation: h.Incarnation,
+		Secret:      h.Secret,
+		Started:     now.Add(-h.Age),
+		Lifetime:    lifetime,
+		Capacity:    capacity,
+	})
+	closedChan := make(chan struct{})
+	close(closedChan)
+	for _, entry := range h.Entries {
+		entry.done = closedChan
+		entry.expires = h.Age + lifetime
+		t.entries[entry.Sequence] = &entry
+		t.order = append(t.order, entry.Sequence)
+	}
+	return t
+}
+
+// Amend adds what became known of a handed-over table's requests after it was
+// copied: an unknown outcome may become answered, and nothing else changes.
+func (t *Table) Amend(entries []Entry) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, e := range entries {
+		known, ok := t.entries[e.Sequence]
+		if ok && known.State == StateUnknown && e.State == StateAnswered && known.Digest == e.Digest {
+			known.State = e.State
+			known.Result = e.Result
+		}
+	}
+}
+
+// Settled returns the entries that have ended, for an amendment.
+func (t *Table) Settled() []Entry {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []Entry
+	for _, e := range t.entries {
+		if e.State == StateAnswered {
+			out = append(out, Entry{Sequence: e.Sequence, Digest: e.Digest, State: e.State, Result: e.Result})
+		}
+	}
+	return out
+}
+
+func (t Ticket) sign(secret []byte) []byte {
+	mac := hmac.New(sha256.New, secret)
+	mac.Write(t.payload())
+	return mac.Sum(nil)[:macBytes]
+}
+
+func (t Ticket) payload() []byte {
+	out := binary.AppendUvarint(nil, t.Sequence)
+	out = binary.AppendUvarint(out, uint64(t.Expires.Milliseconds()))
+	return append(out, t.Incarnation...)
+}
+
+// String returns the text form that callers carry.
+func (t Ticket) String() string {
+	body := base64.RawURLEncoding.EncodeToString(append(bytes.Clone(t.mac), t.payload()...))
+	return ticketVersion + "." + body
+}
+
+// Parse reads the text form; who issued the ticket is checked by Begin.
+func Parse(text string) (Ticket, error) {
+	const op = "parse ticket"
+	version, body, ok := strings.Cut(text, ".")
+	if !ok || version != ticketVersion {
+		return Ticket{}, failer.New(op, KindMalformed, "not a %s ticket", ticketVersion)
+	}
+	data, err := base64.RawURLEncoding.DecodeString(body)
+	if err != nil {
+		return Ticket{}, failer.Wrap(op, KindMalformed, err)
+	}
+	if len(data) <= macBytes {
+		return Ticket{}, failer.New(op, KindMalformed, "too short")
+	}
+	rest := data[macBytes:]
+	sequence, n := binary.Uvarint(rest)
+	if n <= 0 {
+		return Ticket{}, failer.New(op, KindMalformed, "no sequence")
+	}
+	rest = rest[n:]
+	millis, n := binary.Uvarint(rest)
+	if n <= 0 || n == len(rest) || millis > uint64(1<<40) {
+		return Ticket{}, failer.New(op, KindMalformed, "no expiry or no incarnation")
+	}
+	return Ticket{
+		Incarnation: string(rest[n:]),
+		Sequence:    sequence,
+		Expires:     time.Duration(millis) * time.Millisecond,
+		mac:         data[:macBytes],
+	}, nil
+}
--- /dev/null
+++ b/internal/watcher/watcher.go
@@ -0,0 +1,125 @@
+// Package watcher is the client of the platform's Object API and VM list.
+package watcher
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/dghubble/sling"
+
+	"github.com/fuchsiastile/fuchsiastile/internal/dialer"
+	"github.com/fuchsiastile/fuchsiastile/internal/failer"
+	"github.com/fuchsiastile/fuchsiastile/pkg/declarer"
+)
+
+// Kind is the kind of an Error.
+type Kind string
+
+// The kinds of errors of this package.
+const (
+	// KindAway means that the platform did not answer, or with a failure.
+	// After a write it is not known whether the write took effect.
+	KindAway Kind = "platformAway"
+	// KindConflict means that another write came first.
+	KindConflict Kind = "conflict"
+	// KindAbsent means that there is no such object.
+	KindAbsent Kind = "absent"
+)
+
+// Error is the error type of this package.
+type Error = failer.Error[Kind]
+
+const (
+	// maxReplyBytes is the largest reply that is read.
+	maxReplyBytes = 16 << 20
+	// callTimeout bounds a call that does not wait.
+	callTimeout = 3 * time.Second
+)
+
+// Client talks to one platform.
+type Client struct {
+	base *sling.Sling
+	http *http.Client
+}
+
+// New returns a client for the platform at base, such as http://192.0.2.1:9000.
+func New(network dialer.Network, base string) *Client {
+	client := &http.Client{Transport: &http.Transport{
+		DialContext:         network.Dial,
+		MaxIdleConnsPerHost: 4,
+		IdleConnTimeout:     time.Minute,
+	}}
+	return &Client{base: sling.New().Base(base + "/"), http: client}
+}
+
+// watchParams asks the platform to hold a read until there is something newer.
+type watchParams struct {
+	After      uint64 `url:"after,omitempty"`
+	WaitMillis int64  `url:"waitMillis,omitempty"`
+}
+
+// versionParams makes a write conditional.
+type versionParams struct {
+	Version uint64 `url:"version"`
+}
+
+// Object reads an object. With a wait it returns as soon as its version is
+// above after, or when the wait ends.
+func (c *Client) Object(ctx context.Context, name string, after uint64, wait time.Duration) (declarer.Object, error) {
+	var object declarer.Object
+	request := c.base.New().Get("objects/" + name).QueryStruct(watchParams{After: after, WaitMillis: wait.Milliseconds()})
+	err := c.call(ctx, "read object "+name, request, callTimeout+wait, &object)
+	return object, err
+}
+
+// VMs reads the VM list, with a wait as Object has.
+func (c *Client) VMs(ctx context.Context, after uint64, wait time.Duration) (declarer.VMList, error) {
+	var list declarer.VMList
+	request := c.base.New().Get("vms").QueryStruct(watchParams{After: after, WaitMillis: wait.Milliseconds()})
+	err := c.call(ctx, "read VM list", request, callTimeout+wait, &list)
+	return list, err
+}
+
+// Put writes an object if its version is still the expected one; zero creates it.
+func (c *Client) Put(ctx context.Context, name string, expected uint64, value []byte) (uint64, error) {
+	var object declarer.Object
+	request := c.base.New().Put("objects/" + name).QueryStruct(versionParams{Version: expected}).Body(bytes.NewReader(value))
+	err := c.call(ctx, "write object "+name, request, callTimeout, &object)
+	return object.Version, err
+}
+
+func (c *Client) call(ctx context.Context, op string, s *sling.Sling, timeout time.Duration, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	request, err := s.Request()
+	if err != nil {
+		return failer.Wrap(op, KindAway, err)
+	}
+	response, err := c.http.Do(request.WithContext(ctx))
+	if err != nil {
+		return failer.Wrap(op, KindAway, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes))
+	if err != nil {
+		return failer.Wrap(op, KindAway, err)
+	}
+	switch response.StatusCode {
+	case http.StatusOK:
+	case http.StatusConflict:
+		return failer.New(op, KindConflict, "another write came first")
+	case http.StatusNotFound:
+		return failer.New(op, KindAbsent, "no such object")
+	default:
+		return failer.Wrap(op, KindAway, fmt.Errorf("status %d", response.StatusCode))
+	}
+	if err := json.Unmarshal(body, out); err != nil {
+		return failer.Wrap(op, KindAway, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/caller/client.go
@@ -0,0 +1,128 @@
+package caller
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+
+	"github.com/dghubble/sling"
+
+	"github.com/fuchsiastile/fuchsiastile/internal/failer"
+)
+
+// Kind is the kind of an Error.
+type Kind string
+
+// The kinds of errors of this package.
+const (
+	// KindNotRun means that the request was refused and certainly not run.
+	KindNotRun Kind = "notRun"
+	// KindUnknown means that the request may have run.
+	KindUnknown Kind = "unknown"
+)
+
+// Error is the error type of this package.
+type Error = failer.Error[Kind]
+
+// maxAnswerBytes is the largest answer that is read.
+const maxAnswerBytes = 32 << 20
+
+// Client makes requests to one daemon, or to a balancer in front of many.
+type Client struct {
+	base *sling.Sling
+	http *http.Client
+}
+
+// New returns a client for a base URL such as http://192.0.2.1:7000. The HTTP
+// client must not repeat requests on its own.
+func New(base string, client *http.Client) *Client {
+	return &Client{base: sling.New().Base(base), http: client}
+}
+
+// Search asks an idempotent query. An answer with partial coverage is no error.
+func (c *Client) Search(ctx context.Context, r Request) (Answer, error) {
+	return c.ask(ctx, c.base.New().Post("/v1/search/"+url.PathEscape(r.Service)), r)
+}
+
+// Once makes a non-idempotent request. Without a ticket it gets one first. The
+// caller keeps the ticket to ask again after an unknown outcome.
+func (c *Client) Once(ctx context.Context, r Request) (Answer, error) {
+	if r.Ticket == "" {
+		ticket, err := c.Ticket(ctx)
+		if err != nil {
+			return Answer{Outcome: OutcomeNotRun}, err
+		}
+		r.Ticket = ticket
+	}
+	path := "/v1/once/" + url.PathEscape(r.Service) + "/" + url.PathEscape(r.Key)
+	return c.ask(ctx, c.base.New().Post(path), r)
+}
+
+// Ticket returns a fresh ticket. Getting one runs nothing.
+func (c *Client) Ticket(ctx context.Context) (string, error) {
+	const op = "get ticket"
+	request, err := c.base.New().Post("/v1/tickets").Request()
+	if err != nil {
+		return "", failer.Wrap(op, KindNotRun, err)
+	}
+	response, err := c.http.Do(request.WithContext(ctx))
+	if err != nil {
+		return "", failer.Wrap(op, KindNotRun, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	var reply TicketReply
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxAnswerBytes)).Decode(&reply); err != nil {
+		return "", failer.Wrap(op, KindNotRun, err)
+	}
+	if reply.Ticket == "" {
+		return "", failer.New(op, KindNotRun, "status %d", response.StatusCode)
+	}
+	return reply.Ticket, nil
+}
+
+func (c *Client) ask(ctx context.Context, s *sling.Sling, r Request) (Answer, error) {
+	const op = "ask"
+	s = s.Body(bytes.NewReader(r.Body)).Set(HeaderClass, r.Class).Set(HeaderTenant, r.Tenant).Set(HeaderTicket, r.Ticket)
+	if r.DeadlineMillis > 0 {
+		s = s.Set(HeaderDeadline, fmt.Sprintf("%dms", r.DeadlineMillis))
+	}
+	request, err := s.Request()
+	if err != nil {
+		return Answer{Outcome: OutcomeNotRun}, failer.Wrap(op, KindNotRun, err)
+	}
+	response, err := c.http.Do(request.WithContext(ctx))
+	if err != nil {
+		return Answer{Outcome: OutcomeUnknown}, failer.Wrap(op, KindUnknown, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	if err != nil {
+		return Answer{Outcome: OutcomeUnknown}, failer.Wrap(op, KindUnknown, err)
+	}
+	return decodeAnswer(response, body)
+}
+
+// decodeAnswer reads an answer or a problem.
+func decodeAnswer(response *http.Response, body []byte) (Answer, error) {
+	const op = "ask"
+	var answer Answer
+	var problem Problem
+	if response.Header.Get("Content-Type") == "application/problem+json" && json.Unmarshal(body, &problem) == nil {
+		return Answer{RequestID: problem.RequestID, Outcome: problem.Outcome}, failer.New(op, KindNotRun, "%s (status %d)", problem.Detail, problem.Status)
+	}
+	if err := json.Unmarshal(body, &answer); err != nil {
+		return Answer{Outcome: OutcomeUnknown}, failer.Wrap(op, KindUnknown, err)
+	}
+	switch answer.Outcome {
+	case OutcomeAnswered:
+		return answer, nil
+	case OutcomeNotRun:
+		return answer, failer.New(op, KindNotRun, "refused: %v", answer.Coverage.Missing)
+	default:
+		return answer, failer.New(op, KindUnknown, "outcome unknown: %v", answer.Coverage.Missing)
+	}
+}
