--- a/internal/configurator/configurator.go
+++ b/internal/configurator/configurator.go
@@ -3,7 +3,9 @@
 //
 // Generation order is the only order: a document is only ever replaced by one
 // of a higher generation, whatever a lagging watch, a restored store or a peer
-// says. Two contents of one generation are a conflict; the first stays.
+// says. Two contents of one generation can only come from a store that was
+// restored before any daemon had the first; then the greater digest ranks
+// higher, so that all daemons come to agree.
 package configurator
 
 import (
@@ -36,7 +38,7 @@
 	Older
 	// Same means that the offer is what is in force.
 	Same
-	// Conflict means that the offer has the generation in force but other content.
+	// Conflict means that the offer has the generation in force but other content of a lower rank.
 	Conflict
 	// Corrupt means that the content does not match its digest or was rejected.
 	Corrupt
@@ -76,6 +78,8 @@
 		return Older
 	case digest == inForce.Digest:
 		return Same
+	case digest > inForce.Digest:
+		return Wanted
 	default:
 		return Conflict
 	}
--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -123,21 +123,32 @@
 	_ = json.NewEncoder(w).Encode(v)
 }
 
-// refuse answers a request that was not run, with the problem that says why.
+// refusedOutcome tells what a refusal means for a request. A try that was
+// refused before its ticket was looked at says nothing of earlier tries with
+// that ticket, which may have run or may yet arrive.
+func refusedOutcome(request caller.Request, err error) caller.Outcome {
+	if request.Ticket == "" || kindIs(err, ticketer.KindReused, ticketer.KindMalformed) {
+		return caller.OutcomeNotRun
+	}
+	return caller.OutcomeUnknown
+}
+
+// refuse answers a request that is not carried out, with the problem that says why.
 func (d *Daemon) refuse(w http.ResponseWriter, id string, request caller.Request, started time.Time, err error) {
 	status, title := statusOf(err)
 	class := request.Class
 	if _, unknown := d.view.Load().Class(class); unknown != nil {
 		class = undeclaredClass
 	}
-	d.metrics.request(class, request.Tenant, caller.OutcomeNotRun, time.Since(started), 0)
+	outcome := refusedOutcome(request, err)
+	d.metrics.request(class, request.Tenant, outcome, time.Since(started), 0)
 	problem := caller.Problem{
 		Type:      problemType + title,
 		Title:     title,
 		Status:    status,
 		Detail:    err.Error(),
 		RequestID: id,
-		Outcome:   caller.OutcomeNotRun,
+		Outcome:   outcome,
 	}
 	if kindIs(err, KindTicket) {
 		problem.Ticket, _ = d.tickets.Issue(time.Now())
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -73,11 +73,14 @@
 	platform  *watcher.Client
 	tickets   *ticketer.Table
 	metrics   *metrics
+	news      *newsBoard
 
 	// view is what plans are made from; routing is who is gateway of whom.
 	// Both are replaced whole.
 	view    atomic.Pointer[planner.View]
 	routing atomic.Pointer[routing]
+	// routeMu is held while routing is compiled.
+	routeMu sync.Mutex
 	// routeStale is set when routing must be compiled anew.
 	routeStale atomic.Bool
 
@@ -92,6 +95,10 @@
 	hedgers map[hedgerKey]*hedger.Hedger
 	// adopted holds the ticket tables that stopped daemons handed over.
 	adopted map[string]*ticketer.Table
+	// heardPeers holds the first peers heard of since the start, and highest the
+	// highest generation of each document that any peer named.
+	heardPeers map[string]bool
+	highest    map[string]uint64
 	// fetching holds documents that are being fetched.
 	fetching map[string]bool
 	// liveInput is the set of live daemons that routing was last compiled from.
@@ -143,9 +150,12 @@
 		platform:    watcher.New(network, settings.Platform),
 		linker:      linker.New(network, tlsConfig),
 		metrics:     newMetrics(),
+		news:        newNewsBoard(time.Duration(settings.Tickets.Lifetime)),
 		hedgers:     map[hedgerKey]*hedger.Hedger{},
 		adopted:     map[string]*ticketer.Table{},
 		fetching:    map[string]bool{},
+		heardPeers:  map[string]bool{},
+		highest:     map[string]uint64{},
 		stop:        make(chan struct{}),
 		listeners:   l,
 	}
@@ -264,6 +274,7 @@
 	add(d.awaitStop, func() {})
 	d.tickMembership(time.Now())
 	d.scheduler.Every(routingInterval, func(time.Time) { d.refreshRouting() })
+	d.scheduler.Every(probeInterval, func(now time.Time) { d.probeSearchers(now) })
 	err := group.Run()
 	d.linker.Close()
 	d.sender.Close()
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -105,7 +105,7 @@
 		Deadline:    r.deadline,
 		HedgeDelay:  delay,
 		NextAttempt: d.nextAttempt,
-		Spend:       r.hedger.Spend,
+		Spend:       r.spend,
 		Pick: func(candidates []planner.Searcher, excluded []string) (string, bool) {
 			return d.picker.Pick(time.Now(), plan.Rule, candidates, excluded)
 		},
@@ -117,6 +117,20 @@
 	return r
 }
 
+// spend asks the budget for a further attempt.
+func (r *runner) spend(extra gatherer.Extra) bool {
+	switch extra {
+	case gatherer.ExtraMove:
+		return true
+	case gatherer.ExtraFailure:
+		return r.hedger.SpendFailure()
+	case gatherer.ExtraHedge, gatherer.ExtraOverload:
+		return r.hedger.Spend()
+	default:
+		return false
+	}
+}
+
 // hedgerFor returns the hedger that all queries of a class on a service share.
 func (d *Daemon) hedgerFor(class declarer.Class, plan planner.Plan) *hedger.Hedger {
 	key := hedgerKey{class: class.Name, service: plan.Service.Name}
@@ -258,7 +272,7 @@
 	if result.GetDraining() {
 		d.noteDraining(sent.searcher)
 	}
-	refused := isOverload(result.GetReason())
+	refused := result.GetOutcome() == messenger.Outcome_NOT_RUN && isOverload(result.GetReason())
 	d.gate.Ended(refused)
 	d.metrics.ended(result)
 	switch {
@@ -318,6 +332,8 @@
 		return gatherer.ReasonBadReply
 	case messenger.Reason_TOO_LATE:
 		return gatherer.ReasonLate
+	case messenger.Reason_DRAINING, messenger.Reason_CONNECT_FAILED, messenger.Reason_NOT_GATEWAY, messenger.Reason_STOPPING:
+		return gatherer.ReasonNotSent
 	default:
 		return gatherer.ReasonNone
 	}
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -17,12 +17,8 @@
 const (
 	// maxPacket is the largest datagram that is read.
 	maxPacket = 64 << 10
-	// maxDrainingPerPacket bounds the backend servers that one packet names as leaving.
-	maxDrainingPerPacket = 8
 	// headDigest is how much of a digest a packet carries.
 	headDigest = 16
-	// drainingNews is how long a server that is leaving is passed on.
-	drainingNews = 30 * time.Second
 )
 
 // seed tells the membership of daemons that a hint names.
@@ -72,11 +68,13 @@
 		return nil
 	}
 	heads := d.heads()
-	draining := d.drainingNews(now)
+	news := d.news.latest(now, d.picker.DrainingServers(now))
 	out := make([]datagram, 0, len(packets))
 	for _, p := range packets {
 		p.Packet.Heads = heads
-		p.Packet.Draining = draining
+		p.Packet.Draining = news.draining
+		p.Packet.Holdings = news.holdings
+		p.Packet.NewsDigest = news.digest
 		data, err := proto.Marshal(p.Packet)
 		if err != nil {
 			continue
@@ -98,18 +96,6 @@
 	return out
 }
 
-func (d *Daemon) drainingNews(now time.Time) []*messenger.Draining {
-	var out []*messenger.Draining
-	for searcher, since := range d.picker.DrainingServers(now) {
-		age := now.Sub(since)
-		if age > drainingNews || len(out) == maxDrainingPerPacket {
-			continue
-		}
-		out = append(out, &messenger.Draining{Searcher: searcher, AgeMillis: uint32(age.Milliseconds())})
-	}
-	return out
-}
-
 func (d *Daemon) sendPackets(packets []datagram) {
 	for _, p := range packets {
 		address, err := net.ResolveUDPAddr("udp", p.to)
@@ -149,25 +135,26 @@
 	out := d.encode(now, d.members.Receive(now, packet))
 	d.mu.Unlock()
 	d.sendPackets(out)
-	for _, news := range packet.GetDraining() {
-		since := now.Add(-time.Duration(news.GetAgeMillis()) * time.Millisecond)
-		d.noteDrainingSince(since, news.GetSearcher())
-	}
+	d.takeNews(now, packet.GetDraining(), packet.GetHoldings())
+	d.compareNews(now, packet)
 	for _, head := range packet.GetHeads() {
 		d.hear(packet.GetFrom(), head)
 	}
+	d.notePeer(packet)
 }
 
-// noteDraining takes the word of a backend server that it is leaving.
-func (d *Daemon) noteDraining(searcher string) { d.noteDrainingSince(time.Now(), searcher) }
-
-func (d *Daemon) noteDrainingSince(since time.Time, searcher string) {
-	if !d.picker.Draining(since, searcher) {
-		return
+// notePeer counts peers that this daemon has compared heads with since it started.
+func (d *Daemon) notePeer(packet *messenger.Packet) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(d.heardPeers) < syncPeers {
+		d.heardPeers[packet.GetFrom()] = true
+	}
+	for _, head := range packet.GetHeads() {
+		if knownDocument(head.GetDocument()) {
+			d.highest[head.GetDocument()] = max(d.highest[head.GetDocument()], head.GetGeneration())
+		}
 	}
-	klog.InfoS("backend server is leaving", "searcher", searcher)
-	d.sender.Drain(searcher)
-	d.pushNews()
 }
 
 // hear fetches a document from the peer that has a newer one.
@@ -181,18 +168,33 @@
 	if head.GetGeneration() == inForce.Generation && head.GetDigest() != digest {
 		d.metrics.conflicts.Inc()
 	}
-	if head.GetGeneration() <= inForce.Generation || !knownDocument(name) {
+	newer := head.GetGeneration() > inForce.Generation ||
+		head.GetGeneration() == inForce.Generation && head.GetDigest() > digest
+	if !newer || !knownDocument(name) {
 		return
 	}
-	d.mu.Lock()
-	busy := d.fetching[name]
-	d.fetching[name] = true
-	d.mu.Unlock()
-	if !busy {
+	if d.beginFetch(name) {
 		go d.fetch(from, name)
 	}
 }
 
+// beginFetch reports whether a document is not being fetched already, and marks it.
+func (d *Daemon) beginFetch(name string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.fetching[name] {
+		return false
+	}
+	d.fetching[name] = true
+	return true
+}
+
+func (d *Daemon) endFetch(name string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.fetching[name] = false
+}
+
 func knownDocument(name string) bool {
 	return name == declarer.DocumentDeclarations || name == declarer.DocumentIndexes || name == declarer.DocumentVMs
 }
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -32,6 +32,8 @@
 	conflicts     *vm.Counter
 	platformCalls *vm.Counter
 	platformFails *vm.Counter
+	// results is indexed by outcome and reason.
+	results [][]*vm.Counter
 
 	mu      sync.Mutex
 	tenants map[string]bool
@@ -40,6 +42,7 @@
 func newMetrics() *metrics {
 	set := vm.NewSet()
 	return &metrics{
+		results:       resultCounters(set),
 		set:           set,
 		shardRequests: set.NewCounter("shardRequestsTotal"),
 		extraRequests: set.NewCounter("extraShardRequestsTotal"),
@@ -54,6 +57,19 @@
 	}
 }
 
+// resultCounters makes one counter for each outcome and reason.
+func resultCounters(set *vm.Set) [][]*vm.Counter {
+	out := make([][]*vm.Counter, len(messenger.Outcome_name))
+	for o := range out {
+		out[o] = make([]*vm.Counter, len(messenger.Reason_name))
+		for r := range out[o] {
+			name := fmt.Sprintf(`shardResultsTotal{outcome=%q,reason=%q}`, messenger.Outcome(o), messenger.Reason(r))
+			out[o][r] = set.NewCounter(name)
+		}
+	}
+	return out
+}
+
 // tenant bounds the label values that callers can make.
 func (m *metrics) tenant(name string) string {
 	if name == "" {
@@ -79,7 +95,10 @@
 
 // ended counts how one shard request ended.
 func (m *metrics) ended(r *messenger.ShardResult) {
-	m.set.GetOrCreateCounter(fmt.Sprintf(`shardResultsTotal{outcome=%q,reason=%q}`, r.GetOutcome(), r.GetReason())).Inc()
+	outcome, reason := int(r.GetOutcome()), int(r.GetReason())
+	if outcome < len(m.results) && reason < len(m.results[outcome]) {
+		m.results[outcome][reason].Inc()
+	}
 }
 
 func (m *metrics) write(w io.Writer) { m.set.WritePrometheus(w) }
--- a/internal/daemon/once.go
+++ b/internal/daemon/once.go
@@ -9,11 +9,9 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/fuchsiastile/fuchsiastile/internal/assigner"
 	"github.com/fuchsiastile/fuchsiastile/internal/failer"
 	"github.com/fuchsiastile/fuchsiastile/internal/messenger"
 	"github.com/fuchsiastile/fuchsiastile/internal/planner"
-	"github.com/fuchsiastile/fuchsiastile/internal/prober"
 	"github.com/fuchsiastile/fuchsiastile/internal/ticketer"
 	"github.com/fuchsiastile/fuchsiastile/pkg/caller"
 	"github.com/fuchsiastile/fuchsiastile/pkg/declarer"
@@ -142,6 +140,14 @@
 	return &messenger.OnceReply{Outcome: messenger.Outcome_UNKNOWN, Detail: detail}
 }
 
+// refusedOnce is the reply of the daemon that owns the ticket to a try that it refuses.
+func refusedOnce(err error) *messenger.OnceReply {
+	if kindIs(err, ticketer.KindReused, ticketer.KindMalformed) {
+		return notRunOnce(err.Error())
+	}
+	return unknownOnce(err.Error())
+}
+
 func notRunOnce(detail string) *messenger.OnceReply {
 	return &messenger.OnceReply{Outcome: messenger.Outcome_NOT_RUN, Detail: detail}
 }
@@ -157,29 +163,15 @@
 	return table, ok
 }
 
-// ownerOf returns the peer to ask about an incarnation: the daemon at its
-// address while it lives, else the successor that took its table over.
+// ownerOf returns the peer to ask about an incarnation: the holder that took
+// its table over, else the daemon at its address. A process that is not the
+// incarnation answers that it does not know.
 func (d *Daemon) ownerOf(incarnation string) (string, bool) {
-	address, _, _ := strings.Cut(incarnation, "/")
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	var sameDomain []string
-	for _, m := range d.members.Members() {
-		if m.GetIncarnation() == incarnation && prober.StateOf(m) == prober.Left {
-			return m.GetSuccessor(), m.GetSuccessor() != "" && m.GetSuccessor() != d.settings.Peers
-		}
-		if m.GetIncarnation() == incarnation || m.GetIncarnation() == "" && m.GetAddress() == address {
-			return m.GetAddress(), m.GetAddress() != d.settings.Peers
-		}
-		if m.GetAddress() != address && prober.StateOf(m) == prober.Alive {
-			sameDomain = append(sameDomain, m.GetAddress())
-		}
-	}
-	guess := assigner.Top(incarnation, sameDomain, 1)
-	if len(guess) == 0 || guess[0] == d.settings.Peers {
-		return "", false
+	holder, ok := d.news.holder(incarnation)
+	if !ok {
+		holder, _, _ = strings.Cut(incarnation, "/")
 	}
-	return guess[0], true
+	return holder, holder != d.settings.Peers
 }
 
 // runOnce uses a ticket at the table that owns it: the first use sends the
@@ -205,9 +197,9 @@
 	switch state {
 	case ticketer.StateAnswered:
 		return &messenger.OnceReply{Outcome: messenger.Outcome_ANSWERED, Snapshot: result.Snapshot, Hits: result.Hits, Replayed: !first}, nil
-	case ticketer.StatePending:
+	case ticketer.StateNotRun:
 		return notRunOnce(result.Detail), nil
-	case ticketer.StateUnknown:
+	case ticketer.StateUnknown, ticketer.StatePending:
 		return unknownOnce(result.Detail), nil
 	default:
 		return unknownOnce(result.Detail), nil
@@ -229,7 +221,7 @@
 	case messenger.Outcome_ANSWERED:
 		table.Finish(entry, ticketer.StateAnswered, kept)
 	case messenger.Outcome_NOT_RUN:
-		table.Release(entry, kept)
+		table.Finish(entry, ticketer.StateNotRun, kept)
 	case messenger.Outcome_UNKNOWN, messenger.Outcome_OUTCOME_UNSPECIFIED:
 		table.Finish(entry, ticketer.StateUnknown, kept)
 	}
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -17,6 +17,9 @@
 	"github.com/fuchsiastile/fuchsiastile/internal/ticketer"
 )
 
+// amendment is the number of hops of a message that only adds to a table.
+const amendment = 0
+
 // maxDocumentBytes bounds a document that a peer sends, unpacked.
 const maxDocumentBytes = 16 << 20
 
@@ -43,7 +46,7 @@
 	defer d.onceActive.Add(-1)
 	ticket, err := ticketer.Parse(message.GetTicket())
 	if err != nil {
-		return notRunOnce(err.Error()), nil
+		return unknownOnce(err.Error()), nil
 	}
 	table, ok := d.tableOf(ticket.Incarnation)
 	if !ok {
@@ -54,7 +57,7 @@
 		return d.passToSuccessor(ctx, message)
 	}
 	if err != nil {
-		return notRunOnce(err.Error()), nil
+		return refusedOnce(err), nil
 	}
 	return reply, nil
 }
@@ -80,6 +83,16 @@
 	}, nil
 }
 
+// ListNews sends all news that this daemon has.
+func (p *peerServer) ListNews(context.Context, *messenger.News) (*messenger.News, error) {
+	now := time.Now()
+	out := &messenger.News{Holdings: p.daemon.news.all(now)}
+	for searcher, since := range p.daemon.picker.DrainingServers(now) {
+		out.Draining = append(out.Draining, drainingRecord(now, searcher, since))
+	}
+	return out, nil
+}
+
 func pack(content []byte) ([]byte, error) {
 	var out bytes.Buffer
 	w := gzip.NewWriter(&out)
@@ -108,14 +121,10 @@
 		Age:         time.Duration(r.GetElapsedMillis()) * time.Millisecond,
 	}
 	for _, e := range r.GetEntries() {
-		state := ticketer.StateUnknown
-		if e.GetOutcome() == messenger.Outcome_ANSWERED {
-			state = ticketer.StateAnswered
-		}
 		handOver.Entries = append(handOver.Entries, ticketer.Entry{
 			Sequence: e.GetSequence(),
 			Digest:   e.GetDigest(),
-			State:    state,
+			State:    ticketState(e.GetOutcome()),
 			Result:   ticketer.Result{Detail: e.GetDetail(), Snapshot: e.GetSnapshot(), Hits: e.GetHits()},
 		})
 	}
@@ -125,24 +134,35 @@
 		table.Amend(handOver.Entries)
 		return
 	}
-	d.adopted[handOver.Incarnation] = ticketer.Adopt(time.Now(), handOver, time.Duration(d.settings.Tickets.Lifetime), d.settings.Tickets.Capacity)
+	if r.GetHops() == amendment {
+		// The daemon that was handed the table is gone, with all it knew.
+		return
+	}
+	lifetime := time.Duration(d.settings.Tickets.Lifetime)
+	d.adopted[handOver.Incarnation] = ticketer.Adopt(time.Now(), handOver, lifetime, d.settings.Tickets.Capacity)
+	d.news.note(handOver.Incarnation, holding{holder: d.settings.Peers, hops: r.GetHops(), since: time.Now()})
+	d.scheduler.At(time.Now().Add(lifetime), func(time.Time) { d.dropAdopted(handOver.Incarnation) })
 }
 
-func handOverMessage(h ticketer.HandOver) *messenger.HandOverRequest {
+// dropAdopted forgets a table once all its tickets have expired.
+func (d *Daemon) dropAdopted(incarnation string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.adopted, incarnation)
+}
+
+func handOverMessage(h ticketer.HandOver, hops uint32) *messenger.HandOverRequest {
 	out := &messenger.HandOverRequest{
+		Hops:          hops,
 		Incarnation:   h.Incarnation,
 		Secret:        h.Secret,
 		ElapsedMillis: h.Age.Milliseconds(),
 	}
 	for _, e := range h.Entries {
-		outcome := messenger.Outcome_UNKNOWN
-		if e.State == ticketer.StateAnswered {
-			outcome = messenger.Outcome_ANSWERED
-		}
 		out.Entries = append(out.Entries, &messenger.TicketEntry{
 			Sequence: e.Sequence,
 			Digest:   e.Digest,
-			Outcome:  outcome,
+			Outcome:  ticketOutcome(e.State),
 			Detail:   e.Result.Detail,
 			Snapshot: e.Result.Snapshot,
 			Hits:     e.Result.Hits,
@@ -151,6 +171,28 @@
 	return out
 }
 
+func ticketState(o messenger.Outcome) ticketer.State {
+	switch o {
+	case messenger.Outcome_ANSWERED:
+		return ticketer.StateAnswered
+	case messenger.Outcome_NOT_RUN:
+		return ticketer.StateNotRun
+	default:
+		return ticketer.StateUnknown
+	}
+}
+
+func ticketOutcome(s ticketer.State) messenger.Outcome {
+	switch s {
+	case ticketer.StateAnswered:
+		return messenger.Outcome_ANSWERED
+	case ticketer.StateNotRun:
+		return messenger.Outcome_NOT_RUN
+	default:
+		return messenger.Outcome_UNKNOWN
+	}
+}
+
 // peerTLS returns the configuration with which daemons prove themselves to each other.
 func peerTLS(files *loader.TLS) (*tls.Config, error) {
 	const op = "load TLS files"
--- a/internal/daemon/relay.go
+++ b/internal/daemon/relay.go
@@ -162,11 +162,7 @@
 
 // fetch gets a document from a peer.
 func (d *Daemon) fetch(from, name string) {
-	defer func() {
-		d.mu.Lock()
-		d.fetching[name] = false
-		d.mu.Unlock()
-	}()
+	defer d.endFetch(name)
 	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
 	defer cancel()
 	reply, err := d.linker.Peer(ctx, from).Fetch(ctx, &messenger.FetchRequest{Document: name})
--- a/internal/daemon/routing.go
+++ b/internal/daemon/routing.go
@@ -15,6 +15,10 @@
 // routingInterval is how often routing is checked against members and view.
 const routingInterval = 200 * time.Millisecond
 
+// probeInterval is how long a searcher may go without a reply before it is asked
+// whether it is leaving.
+const probeInterval = time.Second
+
 // route is who may dial one searcher.
 type route struct {
 	// gateways is sorted and never empty.
@@ -47,6 +51,8 @@
 
 // refreshRouting compiles routing anew if members or view have changed.
 func (d *Daemon) refreshRouting() {
+	d.routeMu.Lock()
+	defer d.routeMu.Unlock()
 	live := d.liveDaemons()
 	input := strings.Join(addressesOf(live), ",")
 	d.mu.Lock()
@@ -59,7 +65,7 @@
 	d.routing.Store(d.compileRouting(live, d.view.Load()))
 	d.sender.Forget()
 	d.linker.Forget(setOf(addressesOf(live)))
-	d.picker.Forget(setOf(d.routing.Load().searchers()))
+	d.picker.Forget(time.Now(), setOf(d.routing.Load().searchers()))
 }
 
 func (r *routing) searchers() []string {
@@ -164,6 +170,24 @@
 	}
 }
 
+// probeSearchers asks each searcher that has not replied lately whether it is
+// leaving. Only one gateway of a searcher does so; the others are told by it.
+func (d *Daemon) probeSearchers(now time.Time) {
+	var mine []string
+	for searcher, r := range d.routing.Load().routes {
+		if r.self && assigner.Top(searcher, r.gateways, 1)[0] == d.settings.Peers {
+			mine = append(mine, searcher)
+		}
+	}
+	for _, searcher := range d.picker.Unheard(now, mine, probeInterval) {
+		go func() {
+			if load, ok := d.sender.Probe(searcher); ok {
+				d.picker.Probed(time.Now(), searcher, load)
+			}
+		}()
+	}
+}
+
 // gatewayFor returns the daemon that a shard request goes through. Turn picks
 // among equals, so that a second attempt goes through another daemon.
 func (d *Daemon) gatewayFor(searcher string, turn uint64) (string, bool) {
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -9,6 +9,13 @@
 	"github.com/fuchsiastile/fuchsiastile/pkg/declarer"
 )
 
+const (
+	// syncPeers is how many peers a new daemon compares generations with.
+	syncPeers = 2
+	// syncTime bounds the wait for them, since all may be out of reach.
+	syncTime = 5 * time.Second
+)
+
 // DocumentStatus is one document in force.
 type DocumentStatus struct {
 	Generation uint64    `json:"generation"`
@@ -72,6 +79,9 @@
 	if d.stopping.Load() {
 		why = append(why, "the daemon is stopping")
 	}
+	if d.syncing() {
+		why = append(why, "generations have not been compared with enough peers yet")
+	}
 	for _, name := range []string{declarer.DocumentDeclarations, declarer.DocumentIndexes, declarer.DocumentVMs} {
 		if d.register.InForce(name).Generation == 0 {
 			why = append(why, "no "+name+" yet, neither from the platform nor from a peer")
@@ -80,6 +90,25 @@
 	return why
 }
 
+// syncing reports whether this daemon may still be behind its peers: it has not
+// heard of enough of them, or one has a newer document that is being fetched. A
+// platform that was restored to an older state must not decide what a new
+// daemon serves while peers know better.
+func (d *Daemon) syncing() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	others := len(d.members.Members()) - 1
+	if len(d.heardPeers) < min(syncPeers, others) && time.Since(d.started) < syncTime {
+		return true
+	}
+	for name, generation := range d.highest {
+		if d.register.InForce(name).Generation < generation && name != declarer.DocumentVMs {
+			return true
+		}
+	}
+	return false
+}
+
 // Status returns the status document.
 func (d *Daemon) Status() Status {
 	now := time.Now()
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -56,7 +57,10 @@
 	d.amend(finish, successor)
 	d.announceLeave(successor)
 	sleep(finish, leaveGrace)
+	d.sender.Refuse()
 	awaitIdle(finish, d.sender.Active)
+	// What peers sent before they heard of the stop is refused as not run.
+	sleep(finish, leaveGrace)
 	klog.InfoS("daemon is idle", "name", d.settings.Name, "successor", successor)
 	return nil
 }
@@ -68,38 +72,55 @@
 	}
 }
 
-// handOver closes the tickets for good and gives them to one successor. It
-// returns an empty string if there is none or it did not confirm: then the
-// tickets answer unknown, and no other successor is ever tried.
+// handOver closes all tickets for good and gives them to one successor: the
+// daemon's own, and those it took over from others. It returns an empty string
+// if there is no successor or it did not confirm: then the tickets answer
+// unknown, and no other successor is ever tried.
 func (d *Daemon) handOver(ctx context.Context) string {
-	closed, ok := d.tickets.Close(time.Now())
 	successor := d.successor()
-	if !ok || successor == "" {
-		return ""
-	}
-	if err := d.sendHandOver(ctx, successor, closed); err != nil {
-		klog.ErrorS(err, "tickets were not handed over; they answer unknown", "successor", successor)
-		return ""
+	for incarnation, table := range d.tables() {
+		closed, ok := table.Close(time.Now())
+		if !ok || successor == "" {
+			continue
+		}
+		hops := d.news.hops(incarnation) + 1
+		if err := d.sendHandOver(ctx, successor, closed, hops); err != nil {
+			klog.ErrorS(err, "tickets were not handed over; they answer unknown", "successor", successor)
+			successor = ""
+			continue
+		}
+		d.news.note(incarnation, holding{holder: successor, hops: hops, since: time.Now()})
 	}
 	d.forwardTo.Store(&successor)
 	return successor
 }
 
+// tables returns the ticket tables of this daemon and of those it took over from.
+func (d *Daemon) tables() map[string]*ticketer.Table {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out := maps.Clone(d.adopted)
+	out[d.incarnation] = d.tickets
+	return out
+}
+
 // amend tells the successor what became of requests that were pending.
 func (d *Daemon) amend(ctx context.Context, successor string) {
-	settled := d.tickets.Settled()
-	if successor == "" || len(settled) == 0 {
+	if successor == "" {
 		return
 	}
-	if err := d.sendHandOver(ctx, successor, ticketer.HandOver{Incarnation: d.incarnation, Entries: settled}); err != nil {
-		klog.ErrorS(err, "late outcomes were not handed over; they answer unknown", "successor", successor)
+	for incarnation, table := range d.tables() {
+		settled := ticketer.HandOver{Incarnation: incarnation, Entries: table.Settled()}
+		if err := d.sendHandOver(ctx, successor, settled, amendment); err != nil {
+			klog.ErrorS(err, "late outcomes were not handed over; they answer unknown", "successor", successor)
+		}
 	}
 }
 
-func (d *Daemon) sendHandOver(ctx context.Context, successor string, h ticketer.HandOver) error {
+func (d *Daemon) sendHandOver(ctx context.Context, successor string, h ticketer.HandOver, hops uint32) error {
 	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
 	defer cancel()
-	_, err := d.linker.Peer(ctx, successor).HandOver(ctx, handOverMessage(h))
+	_, err := d.linker.Peer(ctx, successor).HandOver(ctx, handOverMessage(h, hops))
 	return err
 }
 
@@ -137,7 +158,7 @@
 // passToSuccessor forwards a request whose ticket was handed over.
 func (d *Daemon) passToSuccessor(ctx context.Context, message *messenger.OnceRequest) (*messenger.OnceReply, error) {
 	successor := d.forwardTo.Load()
-	if successor == nil {
+	if successor == nil || *successor == "" {
 		return unknownOnce("the ticket's table is closed"), nil
 	}
 	reply, err := d.linker.Peer(ctx, *successor).Once(ctx, message)
--- a/internal/emulator/searcher.go
+++ b/internal/emulator/searcher.go
@@ -99,21 +99,13 @@
 
 // NewSearcher returns a searcher that does not listen yet.
 func NewSearcher(config SearcherConfig) *Searcher {
-	return &Searcher{
+	s := &Searcher{
 		config:   config,
 		holdings: config.Holdings,
 		rng:      rand.New(rand.NewPCG(config.Seed, 1)),
 		slots:    make(chan struct{}, config.Slots),
 		facts:    SearcherFacts{Runs: map[string]int{}},
 	}
-}
-
-type firstUse struct{ paid bool }
-
-type firstUseKey struct{}
-
-// Serve takes requests on l until Close.
-func (s *Searcher) Serve(l net.Listener) error {
 	s.server = &http.Server{
 		Handler:           s.Handler(),
 		ReadHeaderTimeout: time.Minute,
@@ -122,14 +114,21 @@
 			return context.WithValue(ctx, firstUseKey{}, &firstUse{})
 		},
 	}
+	return s
+}
+
+type firstUse struct{ paid bool }
+
+type firstUseKey struct{}
+
+// Serve takes requests on l until Close.
+func (s *Searcher) Serve(l net.Listener) error {
 	return s.server.Serve(l)
 }
 
 // Close stops the searcher at once, as a crash does.
 func (s *Searcher) Close() {
-	if s.server != nil {
-		_ = s.server.Close()
-	}
+	_ = s.server.Close()
 }
 
 // SetFaults replaces the faults in force.
@@ -146,6 +145,13 @@
 	s.holdings = h
 }
 
+// Holdings returns the snapshots and shards that the searcher has.
+func (s *Searcher) Holdings() map[string][]string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.holdings
+}
+
 // Drain makes the searcher say on its replies that it is leaving and shed new work.
 func (s *Searcher) Drain() {
 	s.mu.Lock()
@@ -245,14 +251,17 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.drainedAt.IsZero() {
-		if time.Since(s.drainedAt) > drainGrace {
+		if request.Remaining > 0 && time.Since(s.drainedAt) > drainGrace {
 			s.facts.LateWork++
 		}
 		return s.faults, framer.RefusedDraining
 	}
-	if !slices.Contains(s.holdings[request.Snapshot], request.Shard) {
+	if request.Remaining > 0 && !slices.Contains(s.holdings[request.Snapshot], request.Shard) {
 		return s.faults, framer.RefusedSnapshot
 	}
+	if request.Remaining <= 0 {
+		return s.faults, framer.RefusedLate
+	}
 	if s.faults.ShedAll || s.queued >= s.config.QueueLimit {
 		s.facts.Shed++
 		return s.faults, framer.RefusedShed
--- a/internal/gatherer/gatherer.go
+++ b/internal/gatherer/gatherer.go
@@ -33,6 +33,25 @@
 	ReasonSnapshotGone Reason = "snapshotGone"
 	ReasonBadReply     Reason = "badReply"
 	ReasonLost         Reason = "lost"
+	// ReasonNotSent means that the request never reached a backend server's
+	// queue: the server is leaving or cannot be reached, or the gateway has changed.
+	ReasonNotSent Reason = "notSent"
+)
+
+// Extra is what a further attempt at a shard is made for. Each kind has a
+// budget of its own.
+type Extra int
+
+// The kinds of further attempts.
+const (
+	// ExtraHedge is sent while the first attempt is still out.
+	ExtraHedge Extra = iota + 1
+	// ExtraOverload follows a refusal for lack of room or time.
+	ExtraOverload
+	// ExtraFailure follows an attempt that got no usable reply.
+	ExtraFailure
+	// ExtraMove follows an attempt that cost no backend server anything.
+	ExtraMove
 )
 
 const (
@@ -86,8 +105,8 @@
 	NextAttempt func() uint64
 	// Pick chooses a replica that is not excluded.
 	Pick func(candidates []planner.Searcher, excluded []string) (string, bool)
-	// Spend takes one extra request from the shared budget.
-	Spend func() bool
+	// Spend takes one further attempt from the budget of its kind.
+	Spend func(Extra) bool
 	// Replan returns the newest plan of the service.
 	Replan func() (planner.Plan, bool)
 }
@@ -258,7 +277,7 @@
 		return
 	}
 	missing := s.missing
-	if q.config.Spend() && q.try(now, s, true, out) {
+	if q.config.Spend(extraAfter(missing)) && q.try(now, s, true, out) {
 		return
 	}
 	s.missing = missing
@@ -267,6 +286,18 @@
 	}
 }
 
+// extraAfter returns the kind of the attempt that follows a failed one.
+func extraAfter(r Reason) Extra {
+	switch r {
+	case ReasonSnapshotGone, ReasonNotSent, ReasonNoReplica:
+		return ExtraMove
+	case ReasonBadReply, ReasonLost:
+		return ExtraFailure
+	default:
+		return ExtraOverload
+	}
+}
+
 // restart moves the whole query to a newer snapshot, so that no answer mixes two.
 func (q *Query) restart(now time.Time, out *Actions) {
 	if q.restarts >= maxRestarts || now.Add(restartReserve).After(q.config.Deadline) {
@@ -310,7 +341,7 @@
 			continue
 		}
 		s.hedged = true
-		if !q.config.Spend() {
+		if !q.config.Spend(ExtraHedge) {
 			return
 		}
 		q.try(now, s, true, out)
--- a/internal/hedger/hedger.go
+++ b/internal/hedger/hedger.go
@@ -23,6 +23,10 @@
 	maxLatencyMicros = 60_000_000
 	// burst is the budget, in requests, that may be saved up.
 	burst = 50
+	// failureBudget is the share of requests that may be retried after failures.
+	failureBudget = 0.1
+	// failureBurst is the budget for those, in requests, that may be saved up.
+	failureBurst = 200
 	// queueSmoothing is the weight of one reply in the share of replies that saw a queue.
 	queueSmoothing = 0.01
 	// refillFloor is the share of the refill that is left when every reply saw a queue.
@@ -39,6 +43,8 @@
 	newer    *hdrhistogram.Histogram
 	// tokens is how many extra requests may be sent now; never above burst.
 	tokens float64
+	// failureTokens is how many retries after failures may be sent now; never above failureBurst.
+	failureTokens float64
 	// queueing is the smoothed share of replies that reported a queue.
 	queueing  float64
 	unlimited bool
@@ -56,7 +62,9 @@
 		older:    hdrhistogram.New(1, maxLatencyMicros, 2),
 		newer:    hdrhistogram.New(1, maxLatencyMicros, 2),
 		tokens:   burst / 2,
-		delay:    defaultDelay,
+
+		failureTokens: failureBurst,
+		delay:         defaultDelay,
 	}
 }
 
@@ -72,6 +80,7 @@
 	defer h.mu.Unlock()
 	refill := max(refillFloor, 1-h.queueing)
 	h.tokens = min(burst, h.tokens+float64(n)*h.budget*refill)
+	h.failureTokens = min(failureBurst, h.failureTokens+float64(n)*failureBudget)
 }
 
 // Took learns the latency of one shard request and whether its server had a queue.
@@ -110,16 +119,24 @@
 	return h.delay, h.quantile > 0
 }
 
-// Spend takes one extra request from the budget, if it has one.
-func (h *Hedger) Spend() bool {
+// Spend takes one hedge, or one retry after a refusal for lack of room, from
+// the budget, if it has one.
+func (h *Hedger) Spend() bool { return h.take(&h.tokens) }
+
+// SpendFailure takes one retry after a failure from the budget for those. It
+// is larger, since a failing server is ejected soon, and since without a retry
+// the answer would be thin.
+func (h *Hedger) SpendFailure() bool { return h.take(&h.failureTokens) }
+
+func (h *Hedger) take(tokens *float64) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.unlimited {
 		return true
 	}
-	if h.tokens < 1 {
+	if *tokens < 1 {
 		return false
 	}
-	h.tokens--
+	*tokens--
 	return true
 }
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -31,6 +31,10 @@
 	maxEjectTime = 30 * time.Second
 	// drainMemory is how long a server that said it is leaving is avoided.
 	drainMemory = 10 * time.Minute
+	// staleAfter is how long a far server may go unheard of, by its own replies
+	// or by a daemon of its failure domain, before others are preferred: it may
+	// have begun to leave while this daemon was cut off from it.
+	staleAfter = 3 * time.Second
 	// backoffTime is how long a server that shed a request is avoided.
 	backoffTime = 20 * time.Millisecond
 )
@@ -60,6 +64,8 @@
 	service time.Duration
 	load    framer.Load
 	loadAt  time.Time
+	// heardAt is when the server last replied, in whatever way.
+	heardAt time.Time
 	// failures counts failures in a row.
 	failures     int
 	ejections    int
@@ -74,11 +80,13 @@
 	mu      sync.Mutex
 	config  Config
 	servers map[string]*server
+	// domains is when each failure domain's daemons last agreed on which servers are leaving.
+	domains map[string]time.Time
 }
 
 // New returns a picker that knows nothing of any server.
 func New(config Config) *Picker {
-	return &Picker{config: config, servers: map[string]*server{}}
+	return &Picker{config: config, servers: map[string]*server{}, domains: map[string]time.Time{}}
 }
 
 // Pick returns the best candidate within the rule's locality that is not
@@ -207,6 +215,7 @@
 	if load.Slots == 0 {
 		return
 	}
+	s.heardAt = now
 	s.load = load
 	s.loadAt = now
 }
@@ -232,7 +241,7 @@
 		s := p.get(c.Address)
 		switch {
 		case s.isDraining(now):
-		case now.Before(s.ejectedUntil) || now.Before(s.backoffUntil):
+		case now.Before(s.ejectedUntil) || now.Before(s.backoffUntil) || p.isStale(now, s, c):
 			spare = append(spare, c)
 		default:
 			usable = append(usable, c)
@@ -244,6 +253,43 @@
 	return usable
 }
 
+// isStale reports whether nothing was heard lately of a server in another failure domain.
+func (p *Picker) isStale(now time.Time, s *server, c planner.Searcher) bool {
+	if c.FailureDomain == p.config.FailureDomain {
+		return false
+	}
+	return now.Sub(s.heardAt) > staleAfter && now.Sub(p.domains[c.FailureDomain]) > staleAfter
+}
+
+// HeardDomain notes that a daemon of a failure domain agrees with this one on
+// which servers are leaving.
+func (p *Picker) HeardDomain(now time.Time, failureDomain string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.domains[failureDomain] = now
+}
+
+// Unheard returns those of the servers that have not replied for so long, and
+// that are not known to be leaving.
+func (p *Picker) Unheard(now time.Time, servers []string, span time.Duration) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []string
+	for _, address := range servers {
+		if s := p.get(address); now.Sub(s.heardAt) > span && !s.isDraining(now) {
+			out = append(out, address)
+		}
+	}
+	return out
+}
+
+// Probed learns from a reply to a probe.
+func (p *Picker) Probed(now time.Time, address string, load framer.Load) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.get(address).noteLoad(now, load)
+}
+
 func (p *Picker) within(locality declarer.Locality, c planner.Searcher) bool {
 	switch locality {
 	case declarer.LocalityFailureDomain:
@@ -293,12 +339,13 @@
 	}
 }
 
-// Forget drops what is known of servers that are not in keep.
-func (p *Picker) Forget(keep map[string]bool) {
+// Forget drops what is known of servers that are not in keep. A server that is
+// leaving stays known, since a lagging list may name it once more.
+func (p *Picker) Forget(now time.Time, keep map[string]bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for address, s := range p.servers {
-		if !keep[address] && s.outstanding == 0 {
+		if !keep[address] && s.outstanding == 0 && !s.isDraining(now) {
 			delete(p.servers, address)
 		}
 	}
--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -167,6 +167,8 @@
 // Tick takes the passing of time.
 func (m *Machine) Tick(now time.Time) []Outgoing {
 	if m.left {
+		m.target = ""
+		m.nextPeriod = now.Add(m.config.Period)
 		return nil
 	}
 	var out []Outgoing
--- a/internal/publisher/publisher.go
+++ b/internal/publisher/publisher.go
@@ -1,12 +1,13 @@
 // Package publisher writes documents to the platform: content first, then one
 // conditional update of the head. A write whose reply was lost is settled by
-// reading the head back.
+// repeating it and reading the head back.
 package publisher
 
 import (
 	"context"
 	"crypto/rand"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/fuchsiastile/fuchsiastile/internal/configurator"
@@ -32,10 +33,14 @@
 type Error = failer.Error[Kind]
 
 const (
-	// readBackTries bounds the readings that settle a lost reply.
-	readBackTries = 10
-	// readBackPause is the wait between them.
-	readBackPause = 200 * time.Millisecond
+	// settleTries bounds the repeats that settle a lost reply.
+	settleTries = 20
+	// settlePause is the wait between them.
+	settlePause = 200 * time.Millisecond
+	// earlierWriters is how many writers a head remembers.
+	earlierWriters = 16
+	// op names what this package does in its errors.
+	op = "apply document"
 )
 
 // HeadName returns the name of a document's head object.
@@ -95,6 +100,8 @@
 		Digest:     digest,
 		Writer:     rand.Text(),
 	}
+	head.Earlier = append([]string{base.Head.Writer}, base.Head.Earlier...)
+	head.Earlier = head.Earlier[:min(len(head.Earlier), earlierWriters)]
 	if err := s.putContent(ctx, document, digest, content); err != nil {
 		return head, err
 	}
@@ -102,12 +109,50 @@
 	if err != nil {
 		return head, failer.Wrap("encode head", KindAway, err)
 	}
-	_, err = s.Put(ctx, HeadName(document), base.Version, value)
-	if err == nil {
-		return head, nil
+	return head, s.putHead(ctx, document, base, head, value)
+}
+
+// putHead makes the conditional update, and makes it again until its fate is
+// known: a write that was lost, or that is still on its way, cannot take effect
+// after one of the repeats has, or after another writer's.
+func (s Store) putHead(ctx context.Context, document string, base Current, head declarer.Head, value []byte) error {
+	for range settleTries {
+		_, err := s.Put(ctx, HeadName(document), base.Version, value)
+		if err == nil {
+			return nil
+		}
+		if failer.Is(err, watcher.KindConflict) {
+			settled, err := s.settle(ctx, document, base, head)
+			if settled {
+				return err
+			}
+		}
+		select {
+		case <-time.After(settlePause):
+		case <-ctx.Done():
+		}
+	}
+	return failer.New(op, KindUnknown, "the platform does not say whether generation %d was applied; run get -head and look for writer %s", head.Generation, head.Writer)
+}
+
+// settle reads the head back after a conflict, which may be with our own write.
+func (s Store) settle(ctx context.Context, document string, base Current, wrote declarer.Head) (settled bool, err error) {
+	object, err := s.Object(ctx, HeadName(document), 0, 0)
+	if err != nil {
+		return false, nil
+	}
+	var head declarer.Head
+	if err := json.Unmarshal(object.Value, &head); err != nil {
+		return false, nil
+	}
+	switch {
+	case head.Writer == wrote.Writer, slices.Contains(head.Earlier, wrote.Writer):
+		return true, nil
+	case object.Version > base.Version && object.Version-base.Version <= earlierWriters:
+		return true, failer.New(op, KindConflict, "generation %d of another writer came first", head.Generation)
+	default:
+		return true, failer.New(op, KindUnknown, "the head was changed too often since; generation %d may have been in force in between", wrote.Generation)
 	}
-	// Even a conflict may be our own write, repeated on the way.
-	return head, s.settle(ctx, document, base, head)
 }
 
 // putContent writes a content object; its name is its digest, so that writing
@@ -123,33 +168,3 @@
 	}
 	return failer.Wrap("write content", KindAway, err)
 }
-
-// settle finds out by reading the head back whether a write took effect.
-func (s Store) settle(ctx context.Context, document string, base Current, wrote declarer.Head) error {
-	const op = "apply document"
-	for range readBackTries {
-		object, err := s.Object(ctx, HeadName(document), 0, 0)
-		var head declarer.Head
-		switch {
-		case failer.Is(err, watcher.KindAbsent):
-			return failer.New(op, KindAway, "the write did not take effect")
-		case err == nil && json.Unmarshal(object.Value, &head) == nil:
-			return verdict(op, object.Version, head, base, wrote)
-		}
-		time.Sleep(readBackPause)
-	}
-	return failer.New(op, KindUnknown, "the platform does not say whether generation %d was applied; run get and look for writer %s", wrote.Generation, wrote.Writer)
-}
-
-func verdict(op string, version uint64, head declarer.Head, base Current, wrote declarer.Head) error {
-	switch {
-	case head.Writer == wrote.Writer:
-		return nil
-	case version == base.Version:
-		return failer.New(op, KindAway, "the write did not take effect")
-	case version == base.Version+1:
-		return failer.New(op, KindConflict, "generation %d of another writer came first", head.Generation)
-	default:
-		return failer.New(op, KindUnknown, "several changes came since; generation %d may have been in force in between", wrote.Generation)
-	}
-}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -85,6 +85,11 @@
 // callDue calls every subscriber that is due and returns the wait for the next.
 func (s *Scheduler) callDue() time.Duration {
 	for {
+		select {
+		case <-s.stop:
+			return 0
+		default:
+		}
 		s.mu.Lock()
 		if len(s.pending) == 0 {
 			s.mu.Unlock()
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -28,6 +28,10 @@
 	maxReplyBytes = 4 << 20
 	// dialTimeout bounds the time for a new connection.
 	dialTimeout = 500 * time.Millisecond
+	// probeTimeout bounds a probe.
+	probeTimeout = 500 * time.Millisecond
+	// probeRequest is the request id of probes.
+	probeRequest = "probe"
 	// idleTimeout is how long an unused connection is kept.
 	idleTimeout = 90 * time.Second
 )
@@ -82,6 +86,8 @@
 	calls  *xsync.Map[uint64, *call]
 	// active counts calls that were submitted and have not ended.
 	active atomic.Int64
+	// refusing is set while the daemon stops.
+	refusing atomic.Bool
 	// sent counts requests that reached the wire.
 	sent atomic.Int64
 }
@@ -98,6 +104,27 @@
 // Active returns how many calls have not ended.
 func (s *Sender) Active() int64 { return s.active.Load() }
 
+// Probe asks a searcher for its load and whether it is leaving, with a request
+// whose time is up, so that it is never run.
+func (s *Sender) Probe(searcher string) (framer.Load, bool) {
+	l, ok := s.lane(searcher)
+	if !ok {
+		return framer.Load{}, false
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	c := &call{batch: &messenger.QueryBatch{RequestId: probeRequest}, searcher: searcher, lane: l, deadline: time.Now()}
+	result := s.roundTrip(ctx, c)
+	if result.GetDraining() {
+		s.config.OnDraining(searcher)
+	}
+	load := result.GetLoad()
+	return framer.Load{Slots: int(load.GetSlots()), InFlight: int(load.GetInFlight()), Queued: int(load.GetQueued())}, load != nil
+}
+
+// Refuse makes the gateway refuse all new calls as not run; those under way go on.
+func (s *Sender) Refuse() { s.refusing.Store(true) }
+
 // Sent returns how many requests were sent to backend servers.
 func (s *Sender) Sent() int64 { return s.sent.Load() }
 
@@ -119,6 +146,10 @@
 }
 
 func (s *Sender) submit(now time.Time, c *call) {
+	if s.refusing.Load() {
+		s.end(c, notRun(messenger.Reason_STOPPING))
+		return
+	}
 	if s.config.Draining(c.searcher) {
 		s.end(c, notRun(messenger.Reason_DRAINING))
 		return
@@ -330,7 +361,7 @@
 		Attempt:   c.attempt,
 		Snapshot:  c.batch.GetSnapshot(),
 		Shard:     c.shard,
-		Remaining: time.Until(c.deadline),
+		Remaining: max(0, time.Until(c.deadline)),
 		Once:      c.batch.GetOnce(),
 	}
 	onWire := &atomic.Bool{}
--- a/internal/stager/path_test.go
+++ b/internal/stager/path_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"testing"
 	"time"
 
@@ -9,7 +10,9 @@
 
 	"github.com/fuchsiastile/fuchsiastile/examples"
 	"github.com/fuchsiastile/fuchsiastile/internal/emulator"
+	"github.com/fuchsiastile/fuchsiastile/internal/failer"
 	"github.com/fuchsiastile/fuchsiastile/internal/loader"
+	"github.com/fuchsiastile/fuchsiastile/internal/publisher"
 	"github.com/fuchsiastile/fuchsiastile/internal/stager"
 	"github.com/fuchsiastile/fuchsiastile/pkg/caller"
 	"github.com/fuchsiastile/fuchsiastile/pkg/declarer"
@@ -93,3 +96,13 @@
 	}
 	return out
 }
+
+func mustJSON(v any) string {
+	data, err := json.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	return string(data)
+}
+
+func isConflict(err error) bool { return failer.Is(err, publisher.KindConflict) }
--- a/internal/ticketer/ticketer.go
+++ b/internal/ticketer/ticketer.go
@@ -47,6 +47,9 @@
 const (
 	// macBytes is the length of the code that shows who issued a ticket.
 	macBytes = 12
+	// refusedRoom times the capacity is how many tickets are remembered in all:
+	// beyond the capacity they are refused, and that is remembered, too.
+	refusedRoom = 4
 	// ticketVersion starts every ticket.
 	ticketVersion = "t1"
 )
@@ -72,6 +75,10 @@
 	StateAnswered
 	// StateUnknown means that the request may have run; it is never sent again.
 	StateUnknown
+	// StateNotRun means that the request was not run; it is never sent again
+	// either, so that an earlier try that arrives late cannot run after its
+	// caller was told that it was not run.
+	StateNotRun
 )
 
 // Result is what is kept of a request that ended.
@@ -102,7 +109,7 @@
 	Started time.Time
 	// Lifetime is how long a ticket lives.
 	Lifetime time.Duration
-	// Capacity is how many used tickets are kept at most.
+	// Capacity is how many tickets may be used at a time.
 	Capacity int
 }
 
@@ -167,12 +174,16 @@
 		return nil, false, failer.New(op, KindClosed, "the ticket's table was handed over")
 	case t.age(now) >= ticket.Expires:
 		return nil, false, failer.New(op, KindExpired, "the ticket has expired")
-	case len(t.entries) >= t.config.Capacity:
+	case len(t.entries) >= refusedRoom*t.config.Capacity:
 		return nil, false, failer.New(op, KindFull, "%d tickets are in use", len(t.entries))
 	}
 	entry = &Entry{Sequence: ticket.Sequence, Digest: digest, State: StatePending, expires: ticket.Expires, done: make(chan struct{})}
 	t.entries[entry.Sequence] = entry
 	t.order = append(t.order, entry.Sequence)
+	if len(t.entries) > t.config.Capacity {
+		t.finish(entry, StateNotRun, Result{Detail: "too many tickets are in use"})
+		return entry, false, nil
+	}
 	return entry, true, nil
 }
 
@@ -199,38 +210,23 @@
 	}
 }
 
-// Finish records how the request of an entry ended: answered, or unknown.
+// Finish records, once, how the request of an entry ended.
 func (t *Table) Finish(entry *Entry, state State, result Result) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if entry.State != StatePending {
-		return
-	}
-	entry.State = state
-	entry.Result = result
-	close(entry.done)
+	t.finish(entry, state, result)
 }
 
-// Release gives a ticket back whose request was certainly not run, so that a
-// retry may send it. The entry stays pending for those that still look at it.
-func (t *Table) Release(entry *Entry, result Result) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
+func (t *Table) finish(entry *Entry, state State, result Result) {
 	if entry.State != StatePending {
 		return
 	}
+	entry.State = state
 	entry.Result = result
-	delete(t.entries, entry.Sequence)
-	for i, sequence := range t.order {
-		if sequence == entry.Sequence {
-			t.order = append(t.order[:i], t.order[i+1:]...)
-			break
-		}
-	}
 	close(entry.done)
 }
 
-// Done is closed when the request of the entry has ended or was released.
+// Done is closed when the request of the entry has ended.
 func (e *Entry) Done() <-chan struct{} { return e.done }
 
 // Look returns the state and result of an entry.
@@ -302,13 +298,13 @@
 }
 
 // Amend adds what became known of a handed-over table's requests after it was
-// copied: an unknown outcome may become answered, and nothing else changes.
+// copied: an unknown outcome may become known, and nothing else changes.
 func (t *Table) Amend(entries []Entry) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, e := range entries {
 		known, ok := t.entries[e.Sequence]
-		if ok && known.State == StateUnknown && e.State == StateAnswered && known.Digest == e.Digest {
+		if ok && known.State == StateUnknown && e.State != StatePending && known.Digest == e.Digest {
 			known.State = e.State
 			known.Result = e.Result
 		}
@@ -321,7 +317,7 @@
 	defer t.mu.Unlock()
 	var out []Entry
 	for _, e := range t.entries {
-		if e.State == StateAnswered {
+		if e.State != StatePending {
 			out = append(out, Entry{Sequence: e.Sequence, Digest: e.Digest, State: e.State, Result: e.Result})
 		}
 	}
--- a/pkg/caller/client.go
+++ b/pkg/caller/client.go
@@ -112,7 +112,11 @@
 	var answer Answer
 	var problem Problem
 	if response.Header.Get("Content-Type") == "application/problem+json" && json.Unmarshal(body, &problem) == nil {
-		return Answer{RequestID: problem.RequestID, Outcome: problem.Outcome}, failer.New(op, KindNotRun, "%s (status %d)", problem.Detail, problem.Status)
+		kind := KindUnknown
+		if problem.Outcome == OutcomeNotRun {
+			kind = KindNotRun
+		}
+		return Answer{RequestID: problem.RequestID, Outcome: problem.Outcome}, failer.New(op, kind, "%s (status %d)", problem.Detail, problem.Status)
 	}
 	if err := json.Unmarshal(body, &answer); err != nil {
 		return Answer{Outcome: OutcomeUnknown}, failer.Wrap(op, KindUnknown, err)
--- a/pkg/declarer/declarations.go
+++ b/pkg/declarer/declarations.go
@@ -147,6 +147,8 @@
 	Digest     string `json:"digest"`
 	// Writer is unique to one apply, so that a writer whose reply was lost knows its own write.
 	Writer string `json:"writer"`
+	// Earlier holds the writers of the heads before this one, the latest first.
+	Earlier []string `json:"earlier,omitempty"`
 }
 
 // The names of the documents that daemons spread among themselves.
--- /dev/null
+++ b/spec/config.pml
@@ -0,0 +1,148 @@
+/*
+ * Configuration generations: two operators write the head by conditional
+ * update, replies are lost, reads are stale, the store is restored once to an
+ * older state, and daemons restart empty.
+ *
+ * A daemon takes a document only if it ranks higher than the one in force, by
+ * generation and, within one generation, by content. Two contents of one
+ * generation can only come from a store that was restored before any daemon
+ * had the first; ranking makes daemons agree even then. A new daemon becomes
+ * ready only after it has compared generations with a peer that has any.
+ *
+ * Checked: what a daemon has in force never ranks lower than before while it
+ * runs; a replaced daemon is never ready with less than the peer it compared
+ * with had; a new generation is above everything that daemons had in force when
+ * its writer began; a writer that was told conflict is never in force, and one
+ * that was told applied did take effect.
+ *
+ * Mutations, each of which must fail:
+ *   REVERT   daemons take whatever the store says
+ *   NOFLOOR  writers ignore the generations that daemons have in force
+ *   NOSYNC   a new daemon is ready as soon as it has read the store
+ *   GUESS    a writer whose reply was lost tells conflict without reading back
+ */
+#define RANK(g, w) ((g) * 4 + (w))
+
+byte version = 1;
+byte generation = 1;
+byte writer = 0;          /* whose content is at the head; 0 is the first */
+byte previous = 0;        /* the writer before it, kept in the head */
+
+/* An earlier state of the store, which stale reads and a restore show. */
+byte oldGeneration = 1;
+byte oldWriter = 0;
+
+byte rank[2];             /* in force on each daemon; 0 is nothing */
+bool ready[2];
+
+bool took[3];             /* the store took the writer's head */
+bool saidConflict[3];
+bool used[3];             /* some daemon had it in force */
+
+inline takeRank(d, r) {
+  if
+#ifdef REVERT
+  :: r != rank[d] ->
+#else
+  :: r > rank[d] ->
+#endif
+     assert(r > rank[d]);
+     assert(!saidConflict[r % 4]);
+     rank[d] = r;
+     used[r % 4] = true
+  :: else -> skip
+  fi
+}
+
+proctype Writer(byte me) {
+  byte baseVersion, next, seen;
+  bool lost;
+  atomic {
+    baseVersion = version;
+    next = generation;
+    seen = (rank[0] > rank[1] -> rank[0] : rank[1]) / 4;
+#ifndef NOFLOOR
+    next = (next > seen -> next : seen);
+#endif
+    next = next + 1;
+    assert(next > seen)
+  };
+  atomic {
+    if
+    :: version == baseVersion ->
+       oldGeneration = generation; oldWriter = writer;
+       previous = writer;
+       version++; generation = next; writer = me; took[me] = true
+    :: else -> skip
+    fi
+  };
+  if
+  :: lost = false
+  :: lost = true
+  fi;
+  if
+  :: !lost ->                /* the reply arrives */
+     if
+     :: took[me] -> skip
+     :: else -> atomic { saidConflict[me] = true; assert(!used[me]) }
+     fi
+  :: lost ->                 /* the writer reads the head back */
+#ifdef GUESS
+     atomic { saidConflict[me] = true; assert(!used[me]) }
+#else
+     atomic {
+       if
+       :: writer == me || previous == me -> assert(took[me])
+       :: version == baseVersion + 1 && writer != me && previous != me ->
+          saidConflict[me] = true; assert(!took[me] && !used[me])
+       :: else -> skip /* unknown */
+       fi
+     }
+#endif
+  fi
+}
+
+/* An operator restores the store to its earlier state, once. Versions go on. */
+proctype Restore() {
+  atomic {
+    version = version + 2;
+    generation = oldGeneration;
+    writer = oldWriter;
+    previous = 0
+  }
+}
+
+proctype Daemon(byte me) {
+  byte peer = 1 - me;
+  bool replaced = false;
+  byte heard = 0;
+  bool compared = false;
+end:
+  do
+  :: atomic { true -> takeRank(me, RANK(generation, writer)) }
+  :: atomic { true -> takeRank(me, RANK(oldGeneration, oldWriter)) }   /* a stale read */
+  :: atomic { rank[peer] > heard ->            /* a peer's head, and its content */
+       heard = rank[peer];
+       compared = true;
+       takeRank(me, heard)
+     }
+  :: atomic { !ready[me] && rank[me] > 0 ->
+#ifndef NOSYNC
+       (compared || rank[peer] == 0);
+#endif
+       ready[me] = true;
+       assert(compared || rank[peer] == 0);
+       assert(rank[me] >= heard)
+     }
+  :: atomic { !replaced && ready[me] ->        /* replaced: everything is lost */
+       replaced = true;
+       rank[me] = 0; ready[me] = false; compared = false; heard = 0
+     }
+  od
+}
+
+init {
+  atomic {
+    run Writer(1); run Writer(2); run Restore(); run Daemon(0); run Daemon(1)
+  }
+}
