--- a/internal/stager/cutter_test.go
+++ b/internal/stager/cutter_test.go
@@ -40,16 +40,24 @@
 	c.domains[stage.PlatformURL[len("http://"):]] = "platform"
 }
 
-// cutOff is the failure domain that tests cut off from the others and the platform.
-const cutOff = "aberyst-a"
+// cutOff is the failure domain that tests cut off from the others and the
+// platform; newDomain is one that is cut off from the others only.
+const (
+	cutOff    = "aberyst-a"
+	newDomain = "bala-a"
+)
 
-// set cuts the domain off from everything else, or heals it.
-func (c *cutter) set(off bool) {
+// set cuts a domain off, or heals it.
+func (c *cutter) set(off bool, domain string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, other := range []string{"caerdydd-a", "bangor-a", "platform"} {
-		c.cut[[2]string{cutOff, other}] = off
-		c.cut[[2]string{other, cutOff}] = off
+	others := []string{"caerdydd-a", "bangor-a", cutOff}
+	if domain == cutOff {
+		others = []string{"caerdydd-a", "bangor-a", "platform"}
+	}
+	for _, other := range others {
+		c.cut[[2]string{domain, other}] = off
+		c.cut[[2]string{other, domain}] = off
 	}
 }
 
@@ -79,6 +87,9 @@
 			if err != nil {
 				return nil, err
 			}
+			c.mu.Lock()
+			c.domains[conn.LocalAddr().String()] = domain.Name
+			c.mu.Unlock()
 			return &cutPackets{PacketConn: conn, isCut: func(to string) bool { return c.isCut(domain.Name, to) }}, nil
 		},
 	}
--- a/internal/stager/lifecycle_test.go
+++ b/internal/stager/lifecycle_test.go
@@ -31,7 +31,7 @@
 	stop := background(6, func(worker, _ int) {
 		_, _ = stage.Client(worker).Search(context.Background(), search("parts-finder"))
 	})
-	net.set(true)
+	net.set(true, cutOff)
 	time.Sleep(500 * time.Millisecond)
 	searchers := stage.Of("parts-finder")
 	drained := []emulator.Running{searchers[0], searchers[4], searchers[29]}
@@ -39,7 +39,7 @@
 		r.Drain()
 	}
 	time.Sleep(4 * time.Second)
-	net.set(false)
+	net.set(false, cutOff)
 	time.Sleep(3 * time.Second)
 	stop()
 	for _, r := range drained {
@@ -272,7 +272,7 @@
 	}
 
 	// A domain that is cut off gets it when it comes back.
-	net.set(true)
+	net.set(true, cutOff)
 	generation := applied(t, stage)
 	eventually(t, "in force but for the cut-off domain", func() bool { return inForce(nodes[:4], generation) })
 	is.True(!inForce(nodes[4:], generation))
@@ -281,15 +281,21 @@
 	})
 	is.NoErr(err) // a cut-off domain serves what it can
 	is.True(answer.Coverage.Answered > 0)
-	net.set(false)
+	net.set(false, cutOff)
 	eventually(t, "in force after the cut", func() bool { return inForce(nodes, generation) })
 
 	// The platform is restored to an older state: daemons stay, and one that
 	// starts takes what its peers have.
 	stage.Platform.Restore(declarer.Object{Name: head, Version: stage.Platform.Object(head).Version + 1, Value: old.Value})
-	added, err := stage.AddDaemon(stage.Site.Domains[0], 20)
+	// It is alone in its failure domain, so that it asks the platform itself, and
+	// hears of its peers only later.
+	net.set(true, newDomain)
+	added, err := stage.AddDaemon(emulator.Domain{Name: newDomain, Region: "gogledd"}, 20)
 	is.NoErr(err)
 	net.learn(stage)
+	eventually(t, "a new daemon has what the platform says", func() bool { return inForce([]*stager.Node{added}, 1) })
+	is.True(!added.Status().Ready)
+	net.set(false, newDomain)
 	eventually(t, "a new daemon is ready", func() bool { return added.Status().Ready })
 	is.True(inForce([]*stager.Node{added}, generation))
 
@@ -327,7 +333,7 @@
 	is := is.New(t)
 	stage := put(t, 1, nil)
 	for round := range 10 {
-		stage.Platform.SetFaults(emulator.PlatformFaults{LoseReplies: round % 4})
+		stage.Platform.SetFaults(emulator.PlatformFaults{LoseReplies: 2 + round%5})
 		base, err := stage.Store().Read(t.Context(), declarer.DocumentDeclarations)
 		is.NoErr(err)
 		var mu sync.Mutex
