Core tests: tables, state machines with fixed seeds, fuzzed decoders

Cause: the core was tested only through whole sites.

Found: adaptive concurrency never grew beyond its first value of 2, since the check for a busy lane compared with the limit's fraction (2 in flight against 2.5).

A load of 8 requests in 2 slots answered in 5 ms is a fast server, and the picker was right to keep it; the test gives 20 ms.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -124,7 +124,7 @@
 		l.service = took
 	}
 	l.service += time.Duration(serviceSmoothing * float64(took-l.service))
-	if !l.config.Adaptive || float64(l.inFlight+1) < l.limit {
+	if !l.config.Adaptive || l.inFlight+1 < l.Limit() {
 		return
 	}
 	l.limit = min(float64(l.config.MaxConcurrency), l.limit+1/l.limit)
--- /dev/null
+++ b/internal/picker/picker_test.go
@@ -0,0 +1,118 @@
+package picker_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/fuchsiastile/fuchsiastile/internal/framer"
+	"github.com/fuchsiastile/fuchsiastile/internal/hedger"
+	"github.com/fuchsiastile/fuchsiastile/internal/picker"
+	"github.com/fuchsiastile/fuchsiastile/internal/planner"
+	"github.com/fuchsiastile/fuchsiastile/pkg/declarer"
+)
+
+var (
+	start = time.Unix(1000, 0)
+	anyOf = declarer.TrafficRule{Locality: declarer.LocalityAny}
+	near  = planner.Searcher{Address: "near", FailureDomain: "a", Region: "r"}
+	far   = planner.Searcher{Address: "far", FailureDomain: "b", Region: "r"}
+	other = planner.Searcher{Address: "other", FailureDomain: "c", Region: "s"}
+	all   = []planner.Searcher{near, far, other}
+)
+
+func newPicker() *picker.Picker {
+	p := picker.New(picker.Config{FailureDomain: "a", Region: "r", Policy: picker.PolicyLoadAware, Rand: rand.New(rand.NewPCG(1, 1))})
+	p.HeardDomain(start, "b")
+	p.HeardDomain(start, "c")
+	return p
+}
+
+func pick(p *picker.Picker, now time.Time, rule declarer.TrafficRule) string {
+	address, _ := p.Pick(now, rule, all, nil)
+	p.Settle(address)
+	return address
+}
+
+func TestPickPrefersNearUntilItIsBusy(t *testing.T) {
+	is := is.New(t)
+	p := newPicker()
+	is.Equal(pick(p, start, anyOf), "near")
+	for range 20 {
+		p.Answered(start, "near", 20*time.Millisecond, framer.Load{Slots: 2, InFlight: 2, Queued: 6})
+	}
+	is.Equal(pick(p, start, anyOf), "far")
+	is.Equal(pick(p, start.Add(2*time.Second), anyOf), "near") // what was reported is old
+}
+
+func TestPickKeepsWithinTheRule(t *testing.T) {
+	is := is.New(t)
+	p := newPicker()
+	_, ok := p.Pick(start, declarer.TrafficRule{Locality: declarer.LocalityFailureDomain}, all, []string{"near"})
+	is.True(!ok)
+	address, ok := p.Pick(start, declarer.TrafficRule{Locality: declarer.LocalityRegion}, all, []string{"near"})
+	is.True(ok)
+	is.Equal(address, "far")
+}
+
+func TestEjectionNeverTakesTheLastReplica(t *testing.T) {
+	is := is.New(t)
+	p := newPicker()
+	for _, s := range all {
+		for range 3 {
+			p.Failed(start, s.Address)
+		}
+	}
+	_, ok := p.Pick(start, anyOf, all, nil)
+	is.True(ok)
+	p.Answered(start, "near", time.Millisecond, framer.Load{Slots: 1})
+	for range 3 {
+		p.Failed(start, "near")
+	}
+	is.True(pick(p, start.Add(1100*time.Millisecond), anyOf) != "")
+}
+
+func TestDrainingServerIsNeverPicked(t *testing.T) {
+	is := is.New(t)
+	p := newPicker()
+	is.True(p.Draining(start, "near"))
+	is.True(!p.Draining(start, "near")) // no news
+	p.Forget(start, nil)                // a lagging list may name it again
+	_, ok := p.Pick(start, anyOf, []planner.Searcher{near}, nil)
+	is.True(!ok)
+}
+
+func TestUnheardDomainIsPutLast(t *testing.T) {
+	is := is.New(t)
+	p := newPicker()
+	now := start.Add(10 * time.Second)
+	p.HeardDomain(now, "c")
+	address, _ := p.Pick(now, anyOf, all, []string{"near"})
+	is.Equal(address, "other") // b was not heard of lately
+}
+
+func TestExtraLoadStaysWithinItsBudget(t *testing.T) {
+	is := is.New(t)
+	h := hedger.New(0.98, 0.02)
+	spent := 0
+	for range 100_000 {
+		h.Sent(1)
+		if h.Spend() {
+			spent++
+		}
+	}
+	is.True(spent <= 2050) // 2% and what was saved up
+	for range 2000 {
+		h.Took(time.Millisecond, true)
+	}
+	spent = 0
+	for range 100_000 {
+		h.Sent(1)
+		if h.Spend() {
+			spent++
+		}
+	}
+	is.True(spent < 300) // a tenth while every reply reports a queue
+}
--- /dev/null
+++ b/internal/prober/prober_test.go
@@ -0,0 +1,175 @@
+package prober_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/fuchsiastile/fuchsiastile/internal/messenger"
+	"github.com/fuchsiastile/fuchsiastile/internal/prober"
+)
+
+var start = time.Unix(1000, 0)
+
+// cluster runs state machines alone, with packets that may be lost.
+type cluster struct {
+	now      time.Time
+	machines []*prober.Machine
+	names    map[string]int
+	// silent members neither take nor send packets.
+	silent map[int]bool
+	loss   float64
+	rng    *rand.Rand
+	// packets and bytes count what was sent, with 28 bytes of UDP and IP for each.
+	packets, bytes int
+}
+
+const headerBytes = 28
+
+func newCluster(n int, loss float64, seed uint64) *cluster {
+	c := &cluster{now: start, names: map[string]int{}, silent: map[int]bool{}, loss: loss, rng: rand.New(rand.NewPCG(seed, 0))}
+	var all []*messenger.Member
+	for i := range n {
+		self := &messenger.Member{Address: fmt.Sprintf("10.0.%d.%d:7001", i/256, i%256), Incarnation: fmt.Sprintf("10.0.%d.%d:7001/%016x", i/256, i%256, i), Revision: 1_764_000_000_000, FailureDomain: "a", Region: "r"}
+		all = append(all, self)
+		c.names[self.GetAddress()] = i
+	}
+	for i, self := range all {
+		m := prober.New(prober.DefaultConfig(proto.Clone(self).(*messenger.Member), rand.New(rand.NewPCG(seed, uint64(i)+1))))
+		m.Seed(start, all)
+		c.machines = append(c.machines, m)
+	}
+	return c
+}
+
+func (c *cluster) deliver(out []prober.Outgoing) {
+	for len(out) > 0 {
+		p := out[0]
+		out = out[1:]
+		c.packets++
+		c.bytes += headerBytes + proto.Size(p.Packet)
+		from, to := c.names[p.Packet.GetFrom()], c.names[p.To]
+		if c.silent[from] || c.silent[to] || c.rng.Float64() < c.loss {
+			continue
+		}
+		out = append(out, c.machines[to].Receive(c.now, p.Packet)...)
+	}
+}
+
+// run lets time pass in small steps until a fact holds or the span is over.
+func (c *cluster) run(span time.Duration, holds func() bool) time.Duration {
+	const step = 100 * time.Millisecond
+	for passed := time.Duration(0); passed < span; passed += step {
+		if holds != nil && holds() {
+			return passed
+		}
+		c.now = c.now.Add(step)
+		for i, m := range c.machines {
+			if !c.silent[i] && !c.now.Before(m.NextTick()) {
+				c.deliver(m.Tick(c.now))
+			}
+		}
+	}
+	return span
+}
+
+// states counts how often others hold a member to be in a state.
+func (c *cluster) states(target int, s prober.State) int {
+	n := 0
+	for i, m := range c.machines {
+		if i == target || c.silent[i] {
+			continue
+		}
+		for _, record := range m.Members() {
+			if c.names[record.GetAddress()] == target && prober.StateOf(record) == s {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+func TestSilentMemberIsHeldDeadAndComesBack(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(16, 0, 1)
+	c.run(5*time.Second, nil)
+	c.silent[3] = true
+	c.run(time.Minute, func() bool { return c.states(3, prober.Dead) == 15 })
+	is.Equal(c.states(3, prober.Dead), 15)
+	c.silent[3] = false
+	c.run(2*time.Minute, func() bool { return c.states(3, prober.Alive) == 15 })
+	is.Equal(c.states(3, prober.Alive), 15) // it refuted
+}
+
+func TestLeavingIsSpreadWithItsSuccessor(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(16, 0, 2)
+	c.run(5*time.Second, nil)
+	c.deliver(c.machines[5].Leave("10.0.0.1:7001"))
+	c.silent[5] = true
+	c.run(time.Minute, func() bool { return c.states(5, prober.Left) == 15 })
+	is.Equal(c.states(5, prober.Left), 15)
+	m := c.machines[5]
+	m.Tick(c.now)
+	is.True(m.NextTick().After(c.now)) // a member that left is not due for ever
+}
+
+func TestLossAloneHoldsNobodyDead(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(74, 0.05, 3)
+	dead := 0
+	for range 60 {
+		c.run(time.Second, nil)
+		for i := range c.machines {
+			dead += c.states(i, prober.Dead)
+		}
+	}
+	is.Equal(dead, 0)
+}
+
+func TestCutHeals(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(16, 0, 4)
+	c.run(5*time.Second, nil)
+	for i := range 5 {
+		c.silent[i] = true // cut off, one by one, from all
+	}
+	c.run(30*time.Second, nil)
+	for i := range 5 {
+		is.Equal(c.states(i, prober.Dead), 11)
+		c.silent[i] = false
+	}
+	healed := func() bool {
+		for i := range 5 {
+			if c.states(i, prober.Alive) != 15 {
+				return false
+			}
+		}
+		return true
+	}
+	c.run(3*time.Minute, healed)
+	is.True(healed())
+}
+
+// FuzzReceive gives a machine packets of any content.
+func FuzzReceive(f *testing.F) {
+	sample, _ := proto.Marshal(&messenger.Packet{Kind: 1, From: "10.0.0.2:7001", Members: []*messenger.Member{{Address: "10.0.0.1:7001", State: 2, Revision: 1 << 60}}})
+	f.Add(sample)
+	f.Add([]byte{})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		packet := &messenger.Packet{}
+		if proto.Unmarshal(data, packet) != nil {
+			return
+		}
+		c := newCluster(3, 0, 1)
+		c.machines[0].Receive(c.now, packet)
+		c.machines[0].Tick(c.now.Add(time.Second))
+		if prober.StateOf(c.machines[0].Members()[0]) > prober.Left && len(c.machines[0].Members()) == 0 {
+			t.Fatal("lost itself")
+		}
+	})
+}
