--- /dev/null
+++ b/cmd/fuchsiastile/capacity.go
@@ -0,0 +1,45 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"os"
+
+	"github.com/google/subcommands"
+
+	"github.com/fuchsiastile/fuchsiastile/internal/estimator"
+	"github.com/fuchsiastile/fuchsiastile/pkg/declarer"
+)
+
+type capacityCommand struct{ file string }
+
+func (*capacityCommand) Name() string { return "capacity" }
+func (*capacityCommand) Synopsis() string {
+	return "work out what each role costs from measured slopes"
+}
+
+func (*capacityCommand) Usage() string {
+	return "capacity [-slopes FILE]\n\nPrints the tables of docs/CAPACITY.md.\n\n"
+}
+
+func (c *capacityCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.file, "slopes", "docs/slopes.jsonc", "`file` of slopes and size, JSON with comments")
+}
+
+func (c *capacityCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	data, err := os.ReadFile(c.file)
+	if err != nil {
+		return fail(err)
+	}
+	var estimate struct {
+		Slopes estimator.Slopes `json:"slopes"`
+		Size   estimator.Size   `json:"size"`
+	}
+	if err := declarer.Decode(c.file, data, &estimate); err != nil {
+		return fail(err)
+	}
+	if err := estimator.Write(os.Stdout, estimator.Estimate{Slopes: estimate.Slopes, Size: estimate.Size}); err != nil {
+		return fail(err)
+	}
+	return subcommands.ExitSuccess
+}
--- a/cmd/fuchsiastile/demo.go
+++ b/cmd/fuchsiastile/demo.go
@@ -112,7 +112,7 @@
 	for n := range stage.Daemons {
 		clients[n] = stage.Client(n)
 	}
-	reports := generator.Run(ctx, clients, []generator.Stream{{Request: search, Rate: demoRate}}, demoSpan, 1)
+	reports := generator.Run(ctx, generator.RoundRobin(clients), []generator.Stream{{Request: search, Rate: demoRate}}, demoSpan, 1)
 	if c.json {
 		printJSON(reports)
 	}
--- a/cmd/fuchsiastile/main.go
+++ b/cmd/fuchsiastile/main.go
@@ -18,6 +18,8 @@
 	subcommands.Register(subcommands.FlagsCommand(), "")
 	subcommands.Register(&serveCommand{}, "daemon")
 	subcommands.Register(&demoCommand{}, "daemon")
+	subcommands.Register(&benchCommand{}, "daemon")
+	subcommands.Register(&capacityCommand{}, "operators")
 	subcommands.Register(&checkCommand{}, "operators")
 	subcommands.Register(&applyCommand{}, "operators")
 	subcommands.Register(&diffCommand{}, "operators")
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -122,7 +122,7 @@
 		transport := &http.Transport{MaxIdleConnsPerHost: 256}
 		clients = append(clients, caller.New("http://"+address, &http.Client{Transport: transport}))
 	}
-	reports := generator.Run(ctx, clients, []generator.Stream{c.stream}, c.span, c.seed)
+	reports := generator.Run(ctx, generator.RoundRobin(clients), []generator.Stream{c.stream}, c.span, c.seed)
 	encoder := json.NewEncoder(os.Stdout)
 	encoder.SetIndent("", "  ")
 	if err := encoder.Encode(reports); err != nil {
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -155,15 +155,22 @@
 // run feeds events to the state machine until the query has ended.
 func (r *runner) run(ctx context.Context) {
 	wake := make(chan struct{}, 1)
-	d := r.daemon
+	nudge := func(time.Time) {
+		select {
+		case wake <- struct{}{}:
+		default:
+		}
+	}
 	done := r.perform(r.query.Start(time.Now()), true)
+	due := r.query.NextWake()
+	timer := r.daemon.scheduler.At(due, nudge)
+	defer func() { timer.Stop() }()
 	for !done {
-		timer := d.scheduler.At(r.query.NextWake(), func(time.Time) {
-			select {
-			case wake <- struct{}{}:
-			default:
-			}
-		})
+		if next := r.query.NextWake(); !next.Equal(due) {
+			timer.Stop()
+			due = next
+			timer = r.daemon.scheduler.At(due, nudge)
+		}
 		select {
 		case result := <-r.results:
 			done = r.deliver(result)
@@ -173,7 +180,6 @@
 			r.abandon()
 			done = true
 		}
-		timer.Stop()
 	}
 }
 
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -206,7 +206,7 @@
 	switch verdict {
 	case configurator.Taken:
 		klog.InfoS("document in force", "document", document.Name, "generation", document.Generation, "digest", document.Digest[:headDigest])
-		d.apply()
+		d.apply(document.Name)
 		d.pushNews()
 	case configurator.Conflict:
 		d.metrics.conflicts.Inc()
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -30,6 +30,7 @@
 	bytesOut      *vm.Counter
 	bytesIn       *vm.Counter
 	conflicts     *vm.Counter
+	fetchedBytes  *vm.Counter
 	platformCalls *vm.Counter
 	platformFails *vm.Counter
 	// results is indexed by outcome and reason.
@@ -51,6 +52,7 @@
 		bytesOut:      set.NewCounter(`memberBytesTotal{direction="out"}`),
 		bytesIn:       set.NewCounter(`memberBytesTotal{direction="in"}`),
 		conflicts:     set.NewCounter("documentConflictsTotal"),
+		fetchedBytes:  set.NewCounter("fetchedBytesTotal"),
 		platformCalls: set.NewCounter("platformCallsTotal"),
 		platformFails: set.NewCounter("platformFailuresTotal"),
 		tenants:       map[string]bool{},
--- a/internal/daemon/relay.go
+++ b/internal/daemon/relay.go
@@ -169,6 +169,7 @@
 	if err != nil {
 		return
 	}
+	d.metrics.fetchedBytes.Add(len(reply.GetContent()))
 	content, err := unpack(reply.GetContent())
 	if err != nil {
 		return
@@ -195,8 +196,9 @@
 	return err
 }
 
-// apply makes a new view of the documents in force. All of them were checked.
-func (d *Daemon) apply() {
+// apply makes a new view of the documents in force, of which one has changed.
+// All of them were checked.
+func (d *Daemon) apply(changed string) {
 	d.mu.Lock()
 	var list declarer.VMList
 	var declarations declarer.Declarations
@@ -205,8 +207,10 @@
 	d.decode(declarer.DocumentDeclarations, &declarations)
 	d.decode(declarer.DocumentIndexes, &indexes)
 	d.view.Store(planner.New().WithDeclarations(declarations).WithIndexes(indexes).WithVMs(list.VMs))
-	// Hedgers are made anew, since rules may have changed.
-	clear(d.hedgers)
+	if changed == declarer.DocumentDeclarations {
+		// Rules may have changed, which hedgers are made from.
+		clear(d.hedgers)
+	}
 	d.mu.Unlock()
 	d.seedMembers(entryMembers(list.VMs))
 	d.routeStale.Store(true)
--- a/internal/daemon/routing.go
+++ b/internal/daemon/routing.go
@@ -15,6 +15,9 @@
 // routingInterval is how often routing is checked against members and view.
 const routingInterval = 200 * time.Millisecond
 
+// warmPerInterval is how many connections a gateway opens ahead of use in a probeInterval.
+const warmPerInterval = 50
+
 // probeInterval is how long a searcher may go without a reply before it is asked
 // whether it is leaving.
 const probeInterval = time.Second
@@ -141,15 +144,15 @@
 
 // routeSet works out the routes of one set under the route that is set.
 func (d *Daemon) routeSet(out *routing, set searcherSet, searchers, near, all []string) {
-	budget := assigner.Split(set.limit, len(all))
+	budget := assigner.Split(set.limit, len(near))
 	switch {
 	case d.settings.Policy.Route == loader.RouteDirect:
-		d.addRoutes(out, searchers, func(string) []string { return []string{d.settings.Peers} }, max(2, budget.PerGateway))
+		d.addRoutes(out, searchers, func(string) []string { return all }, max(1, assigner.Split(set.limit, len(all)).PerGateway))
 	case d.settings.Policy.Route == loader.RouteOwner:
 		owner := func(searcher string) []string { return assigner.Top(searcher, near, 1) }
 		d.addRoutes(out, searchers, owner, assigner.Split(set.limit, 1).PerGateway)
-	case budget.Gateways >= len(all):
-		d.addRoutes(out, searchers, func(string) []string { return all }, budget.PerGateway)
+	case budget.Gateways >= len(near):
+		d.addRoutes(out, searchers, func(string) []string { return near }, budget.PerGateway)
 	default:
 		groups := assigner.New(near, searchers, budget.Gateways)
 		d.addRoutes(out, searchers, groups.Gateways, budget.PerGateway)
@@ -172,14 +175,20 @@
 
 // probeSearchers asks each searcher that has not replied lately whether it is
 // leaving. Only one gateway of a searcher does so; the others are told by it.
+// Each gateway asks those that it has no open connection to, so that a hedge
+// does not have to wait for one.
 func (d *Daemon) probeSearchers(now time.Time) {
-	var mine []string
+	var mine, cold []string
 	for searcher, r := range d.routing.Load().routes {
-		if r.self && assigner.Top(searcher, r.gateways, 1)[0] == d.settings.Peers {
+		switch {
+		case !r.self:
+		case assigner.Top(searcher, r.gateways, 1)[0] == d.settings.Peers:
 			mine = append(mine, searcher)
+		case len(cold) < warmPerInterval && d.sender.Cold(now, searcher):
+			cold = append(cold, searcher)
 		}
 	}
-	for _, searcher := range d.picker.Unheard(now, mine, probeInterval) {
+	for _, searcher := range append(d.picker.Unheard(now, mine, probeInterval), cold...) {
 		go func() {
 			if load, ok := d.sender.Probe(searcher); ok {
 				d.picker.Probed(time.Now(), searcher, load)
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"runtime"
+	"syscall"
 	"time"
 
 	"github.com/fuchsiastile/fuchsiastile/internal/prober"
@@ -46,11 +47,21 @@
 	Draining     []string `json:"draining,omitempty"`
 	Tickets      int      `json:"tickets"`
 	AdmittedPart float64  `json:"admittedPart"`
+	// HedgeDelayMillis is after how long a shard is tried again, by class and service.
+	HedgeDelayMillis map[string]float64 `json:"hedgeDelayMillis,omitempty"`
 	// ActiveCalls is how many shard requests this daemon has as a gateway.
 	ActiveCalls int64  `json:"activeCalls"`
 	SentCalls   int64  `json:"sentCalls"`
 	HeapBytes   uint64 `json:"heapBytes"`
-	Goroutines  int    `json:"goroutines"`
+	// CPUSeconds is the processor time that the process has used.
+	CPUSeconds float64 `json:"cpuSeconds"`
+	// ControlBytes counts membership datagrams in both directions, without
+	// headers; FetchedBytes counts documents as peers sent them, packed.
+	ControlBytes   uint64 `json:"controlBytes"`
+	ControlPackets uint64 `json:"controlPackets"`
+	FetchedBytes   uint64 `json:"fetchedBytes"`
+	PlatformCalls  uint64 `json:"platformCalls"`
+	Goroutines     int    `json:"goroutines"`
 }
 
 func (d *Daemon) operatorsHandler() http.Handler {
@@ -128,6 +139,11 @@
 		SentCalls:     d.sender.Sent(),
 		Goroutines:    runtime.NumGoroutine(),
 	}
+	status.CPUSeconds = cpuSeconds()
+	status.ControlBytes = d.metrics.bytesIn.Get() + d.metrics.bytesOut.Get()
+	status.ControlPackets = d.metrics.packetsIn.Get() + d.metrics.packetsOut.Get()
+	status.FetchedBytes = d.metrics.fetchedBytes.Get()
+	status.PlatformCalls = d.metrics.platformCalls.Get()
 	var memory runtime.MemStats
 	runtime.ReadMemStats(&memory)
 	status.HeapBytes = memory.HeapAlloc
@@ -138,9 +154,31 @@
 		status.Draining = append(status.Draining, searcher)
 	}
 	status.Members = d.memberStatus()
+	status.HedgeDelayMillis = d.hedgeDelays()
 	return status
 }
 
+// cpuSeconds returns the processor time of this process, user and system.
+func cpuSeconds() float64 {
+	var usage syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &usage) != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano()).Seconds()
+}
+
+func (d *Daemon) hedgeDelays() map[string]float64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out := map[string]float64{}
+	for key, h := range d.hedgers {
+		if delay, ok := h.Delay(); ok {
+			out[key.class+"/"+key.service] = float64(delay.Microseconds()) / 1000
+		}
+	}
+	return out
+}
+
 func (d *Daemon) memberStatus() []MemberStatus {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/generator/generator.go
+++ b/internal/generator/generator.go
@@ -50,6 +50,8 @@
 	ExtraLoad float64 `json:"extraLoad"`
 	// Goodput is answers with full coverage per second.
 	Goodput float64 `json:"goodput"`
+	// Needed is how many shard requests the answered requests needed.
+	Needed int `json:"needed"`
 }
 
 // tally collects the answers of one stream.
@@ -63,9 +65,14 @@
 	available chan struct{}
 }
 
-// Run makes every stream for the given time, spread over the clients, and
-// returns a report for each. The seed decides the arrival times.
-func Run(ctx context.Context, clients []*caller.Client, streams []Stream, span time.Duration, seed uint64) []Report {
+// RoundRobin spreads requests evenly over clients.
+func RoundRobin(clients []*caller.Client) func(n int) *caller.Client {
+	return func(n int) *caller.Client { return clients[n%len(clients)] }
+}
+
+// Run makes every stream for the given time and returns a report for each;
+// client returns the client of the n-th request. The seed decides the arrival times.
+func Run(ctx context.Context, client func(n int) *caller.Client, streams []Stream, span time.Duration, seed uint64) []Report {
 	reports := make([]Report, len(streams))
 	var wait sync.WaitGroup
 	for i, stream := range streams {
@@ -73,14 +80,14 @@
 		go func() {
 			defer wait.Done()
 			rng := rand.New(rand.NewPCG(seed, uint64(i)))
-			reports[i] = runStream(ctx, clients, stream, span, rng)
+			reports[i] = runStream(ctx, client, stream, span, rng)
 		}()
 	}
 	wait.Wait()
 	return reports
 }
 
-func runStream(ctx context.Context, clients []*caller.Client, stream Stream, span time.Duration, rng *rand.Rand) Report {
+func runStream(ctx context.Context, clientOf func(n int) *caller.Client, stream Stream, span time.Duration, rng *rand.Rand) Report {
 	t := &tally{
 		report:    Report{Class: stream.Request.Class, Service: stream.Request.Service},
 		latency:   hdrhistogram.New(1, maxLatencyMicros, 3),
@@ -103,7 +110,7 @@
 			continue
 		}
 		wait.Add(1)
-		client, request, intended := clients[n%len(clients)], keyed(stream, n), due
+		client, request, intended := clientOf(n), keyed(stream, n), due
 		go func() {
 			defer wait.Done()
 			t.ask(ctx, client, stream.Once, request, intended)
@@ -163,8 +170,9 @@
 	if r.Answered > 0 {
 		r.Coverage = t.coverage / float64(r.Answered)
 	}
-	if needed := t.sent - t.extra; needed > 0 {
-		r.ExtraLoad = float64(t.extra) / float64(needed)
+	r.Needed = t.sent - t.extra
+	if r.Needed > 0 {
+		r.ExtraLoad = float64(t.extra) / float64(r.Needed)
 	}
 	r.Goodput = float64(r.Full) / span.Seconds()
 	return r
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -28,6 +28,8 @@
 	maxReplyBytes = 4 << 20
 	// dialTimeout bounds the time for a new connection.
 	dialTimeout = 500 * time.Millisecond
+	// warmTime is how long a connection is relied upon to be open after a request.
+	warmTime = idleTimeout / 2
 	// probeTimeout bounds a probe.
 	probeTimeout = 500 * time.Millisecond
 	// probeRequest is the request id of probes.
@@ -77,6 +79,8 @@
 	budget    int
 	transport *http.Transport
 	url       string
+	// usedAt is when a request last went out, in nanoseconds of the process's clock.
+	usedAt atomic.Int64
 }
 
 // Sender holds the lanes of a gateway.
@@ -122,6 +126,12 @@
 	return framer.Load{Slots: int(load.GetSlots()), InFlight: int(load.GetInFlight()), Queued: int(load.GetQueued())}, load != nil
 }
 
+// Cold reports whether there may be no open connection to a searcher.
+func (s *Sender) Cold(now time.Time, searcher string) bool {
+	l, ok := s.lanes.Load(searcher)
+	return !ok || now.UnixNano()-l.usedAt.Load() > int64(warmTime)
+}
+
 // Refuse makes the gateway refuse all new calls as not run; those under way go on.
 func (s *Sender) Refuse() { s.refusing.Store(true) }
 
@@ -187,6 +197,10 @@
 		if loaded && old.budget == budget {
 			return old, xsync.CancelOp
 		}
+		if loaded {
+			// What is under way on the old lane ends there.
+			go old.transport.CloseIdleConnections()
+		}
 		return made, xsync.UpdateOp
 	})
 	return l, true
@@ -377,6 +391,7 @@
 	r.GetBody = nil
 	request.Stamp(r.Header)
 	s.sent.Add(1)
+	c.lane.usedAt.Store(time.Now().UnixNano())
 	response, err := c.lane.transport.RoundTrip(r)
 	if err != nil {
 		return failure(err, request.Once && !onWire.Load())
--- a/internal/stager/process_test.go
+++ b/internal/stager/process_test.go
@@ -25,7 +25,7 @@
 
 // fleet is a small site of real processes.
 type fleet struct {
-	t         *testing.T
+	t         testing.TB
 	programs  string
 	net       string
 	platform  string
@@ -82,6 +82,11 @@
 	f.processes[name] = c
 }
 
+// httpClient returns a client that keeps many connections.
+func httpClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}}
+}
+
 // signal sends a signal to a process that this test started.
 func (f *fleet) signal(name string, s syscall.Signal) {
 	if err := f.processes[name].Process.Signal(s); err != nil {
--- a/internal/stager/promises_test.go
+++ b/internal/stager/promises_test.go
@@ -20,7 +20,7 @@
 const settleTimeout = 60 * time.Second
 
 // eventually waits until a fact holds.
-func eventually(t *testing.T, what string, holds func() bool) {
+func eventually(t testing.TB, what string, holds func() bool) {
 	t.Helper()
 	deadline := time.Now().Add(settleTimeout)
 	for !holds() {
--- /dev/null
+++ b/internal/stager/slopes_test.go
@@ -0,0 +1,221 @@
+package stager_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/fuchsiastile/fuchsiastile/examples"
+	"github.com/fuchsiastile/fuchsiastile/internal/emulator"
+	"github.com/fuchsiastile/fuchsiastile/internal/generator"
+	"github.com/fuchsiastile/fuchsiastile/internal/loader"
+	"github.com/fuchsiastile/fuchsiastile/internal/messenger"
+	"github.com/fuchsiastile/fuchsiastile/internal/operator"
+	"github.com/fuchsiastile/fuchsiastile/internal/stager"
+	"github.com/fuchsiastile/fuchsiastile/pkg/caller"
+	"github.com/fuchsiastile/fuchsiastile/pkg/declarer"
+)
+
+// BenchmarkControl runs so many daemons in one process, without load, and
+// reports what control costs each of them and how fast a change is in force:
+//
+//	go test -run - -bench Control -benchtime 1x ./internal/stager
+func BenchmarkControl(b *testing.B) {
+	for _, n := range []int{16, 74, 520} {
+		b.Run(fmt.Sprintf("daemons=%d", n), func(b *testing.B) {
+			for range b.N {
+				control(b, n)
+			}
+		})
+	}
+}
+
+func control(b *testing.B, n int) {
+	is := is.New(b)
+	declarations, err := declarer.ParseDeclarations("olwyn", examples.Olwyn)
+	is.NoErr(err)
+	var before, loaded runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	site := emulator.Site{Domains: []emulator.Domain{{Name: "a", Region: "r", Daemons: n}}}
+	site.Workloads = emulator.OlwynSite(0).Workloads[:1]
+	ctx, cancel := context.WithTimeout(b.Context(), 3*time.Minute)
+	defer cancel()
+	stage, err := stager.New(ctx, stager.Config{Site: site, Declarations: declarations, Policy: loader.Default().Policy})
+	is.NoErr(err)
+	defer stage.Close()
+	time.Sleep(5 * time.Second) // the start is over
+	runtime.GC()
+	runtime.ReadMemStats(&loaded)
+	const span = 10 * time.Second
+	first, cpu, started := totals(stage), usage(), time.Now()
+	time.Sleep(span)
+	last := totals(stage)
+	spent := usage() - cpu
+	passed := time.Since(started).Seconds()
+	per := func(v float64) float64 { return v / passed / float64(n) }
+	b.ReportMetric(per(float64(last.ControlBytes-first.ControlBytes)+headerBytes*float64(last.ControlPackets-first.ControlPackets)), "B/s")
+	b.ReportMetric(100*per(spent.Seconds()), "%core")
+	b.ReportMetric(float64(last.PlatformCalls-first.PlatformCalls)/passed, "platform-calls/s")
+	b.ReportMetric(float64(loaded.HeapAlloc-before.HeapAlloc)/float64(n)/1024, "KiB-heap")
+	worst := time.Duration(0)
+	for range 5 {
+		worst = max(worst, spread(b, stage))
+	}
+	b.ReportMetric(worst.Seconds(), "spread-s")
+}
+
+// headerBytes is what UDP and IP add to a datagram.
+const headerBytes = 28
+
+func totals(stage *stager.Stage) (sum struct{ ControlBytes, ControlPackets, PlatformCalls uint64 }) {
+	for _, d := range stage.Daemons {
+		s := d.Status()
+		sum.ControlBytes += s.ControlBytes
+		sum.ControlPackets += s.ControlPackets
+		sum.PlatformCalls += s.PlatformCalls
+	}
+	return sum
+}
+
+func usage() time.Duration {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// spread applies a change and returns the time until it is in force everywhere.
+func spread(b *testing.B, stage *stager.Stage) time.Duration {
+	is := is.New(b)
+	config := stage.Config.Declarations
+	config.VMLabels = map[string]map[string]string{"x": {"n": fmt.Sprint(time.Now().UnixNano())}}
+	started := time.Now()
+	is.NoErr(stage.Apply(b.Context(), declarer.DocumentDeclarations, config))
+	current, err := stage.Store().Read(b.Context(), declarer.DocumentDeclarations)
+	is.NoErr(err)
+	latest := started
+	for _, d := range stage.Daemons {
+		for {
+			document := d.Status().Documents[declarer.DocumentDeclarations]
+			if document.Generation >= current.Head.Generation {
+				if document.Since.After(latest) {
+					latest = document.Since
+				}
+				break
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	return latest.Sub(started)
+}
+
+// BenchmarkRoles runs one entry, one gateway and the searchers behind it as
+// processes, with queries of 190 shards, and reports the processor time that
+// each role spends on a shard request:
+//
+//	go test -run - -bench Roles -benchtime 1x ./internal/stager
+func BenchmarkRoles(b *testing.B) {
+	for range b.N {
+		roles(b)
+	}
+}
+
+const (
+	rolesShards    = 190
+	rolesSearchers = 10
+	rolesRate      = 50
+	rolesSpan      = 10 * time.Second
+)
+
+func roles(b *testing.B) {
+	is := is.New(b)
+	f := &fleet{t: b, programs: b.TempDir(), net: fmt.Sprintf("127.%d.%d.", 1+os.Getpid()%250, os.Getpid()/250%250), processes: map[string]*exec.Cmd{}, searchers: map[string]string{}}
+	out, err := exec.Command("go", "build", "-o", f.programs+"/", "../../cmd/fuchsiastile", "../../cmd/standin").CombinedOutput()
+	if err != nil {
+		b.Fatalf("%v: %s", err, out)
+	}
+	defer f.close()
+	f.platform = f.net + "1:9000"
+	f.start("platform", "standin", "platform", "-listen", f.platform)
+	snapshot := declarer.Snapshot{Name: emulator.FirstSnapshot}
+	held := make([][]string, rolesSearchers)
+	for n := range rolesShards {
+		at := n % rolesSearchers
+		held[at] = append(held[at], emulator.ShardName(n))
+		snapshot.Shards = append(snapshot.Shards, declarer.ShardMap{Name: emulator.ShardName(n), Selector: fmt.Sprint("part=", at)})
+	}
+	for at, shards := range held {
+		address := fmt.Sprint(f.net, 10+at, ":9100")
+		f.start(fmt.Sprint("searcher-", at), "standin", "searcher", "-listen", address, "-shards", strings.Join(shards, ","), "-slots", "64", "-queue", "10000", "-connections", "1000", "-service", "2")
+		f.list(declarer.VM{Name: fmt.Sprint("s", at), Address: address, FailureDomain: fleetDomains[1][0], Region: fleetDomains[1][1], State: declarer.VMLive, Labels: map[string]string{"app": "parts-finder", "part": fmt.Sprint(at)}})
+	}
+	f.daemon(0)
+	f.daemon(1)
+	indexes := declarer.Indexes{Services: map[string]declarer.Snapshot{"parts-finder": snapshot}}
+	declarations := strings.Replace(string(examples.Olwyn), `"connectionLimit": 55`, `"connectionLimit": 400`, 1)
+	for document, content := range map[string]string{declarer.DocumentDeclarations: declarations, declarer.DocumentIndexes: mustJSON(indexes)} {
+		file := filepath.Join(f.programs, document)
+		is.NoErr(os.WriteFile(file, []byte(content), 0o600))
+		out, err := exec.Command(filepath.Join(f.programs, "fuchsiastile"), "apply", "-platform", "http://"+f.platform, "-document", document, file).CombinedOutput()
+		if err != nil {
+			b.Fatalf("%v: %s", err, out)
+		}
+	}
+	for _, address := range f.operators {
+		for {
+			statuses, err := operator.Status(b.Context(), []string{address})
+			if err == nil && statuses[0].Ready && len(statuses[0].Members) >= 2 {
+				break
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	request := caller.Request{Service: "parts-finder", Class: "counter", Body: json.RawMessage(`{"q":"wheel"}`)}
+	client := generator.RoundRobin([]*caller.Client{caller.New("http://"+f.daemons[0], httpClient())})
+	stream := []generator.Stream{{Request: request, Rate: rolesRate}}
+	generator.Run(b.Context(), client, stream, 3*time.Second, 1)
+	before, err := operator.Status(b.Context(), f.operators)
+	is.NoErr(err)
+	report := generator.Run(b.Context(), client, stream, rolesSpan, 2)[0]
+	after, err := operator.Status(b.Context(), f.operators)
+	is.NoErr(err)
+	requests := float64(report.Asked * rolesShards)
+	for i, role := range []string{"entry", "gateway"} {
+		b.ReportMetric(1e6*(after[i].CPUSeconds-before[i].CPUSeconds)/requests, role+"-us/shard")
+		b.ReportMetric(float64(after[i].HeapBytes)/(1<<20), role+"-MiB")
+	}
+	b.ReportMetric(report.P99, "p99-ms")
+	b.ReportMetric(report.Coverage, "coverage")
+}
+
+// BenchmarkWire reports the size of what an entry and a gateway exchange for
+// one query of 38 shards (190 shards over five groups).
+func BenchmarkWire(b *testing.B) {
+	batch := &messenger.QueryBatch{RequestId: "0123456789abcdef-3w5e11264sgsf", Service: "parts-finder", Snapshot: "v1", Class: "counter", Priority: 10, RemainingMicros: 80_000, Body: []byte(`{"q":"wheel"}`)}
+	frame := &messenger.GatewayFrame{}
+	for n := range 38 {
+		attempt := uint64(1)<<63 + uint64(n)
+		batch.Calls = append(batch.Calls, &messenger.ShardCall{Attempt: attempt, Searcher: "10.10.10.10:9100", Shard: emulator.ShardName(n)})
+		frame.Results = append(frame.Results, &messenger.ShardResult{
+			Attempt: attempt, Outcome: messenger.Outcome_ANSWERED, RequestId: batch.GetRequestId(), Snapshot: "v1", Shard: emulator.ShardName(n),
+			Load: &messenger.Load{Slots: 5, InFlight: 3}, ServiceMicros: 5000, Hits: []byte(strings.Repeat("x", 160)),
+		})
+	}
+	for range b.N {
+		_, _ = proto.Marshal(batch)
+		_, _ = proto.Marshal(frame)
+	}
+	b.ReportMetric(float64(proto.Size(batch))/38, "B-out/shard")
+	b.ReportMetric(float64(proto.Size(frame))/38, "B-back/shard")
+}
--- a/internal/stager/stager.go
+++ b/internal/stager/stager.go
@@ -39,6 +39,10 @@
 	Policy       loader.Policy
 	// Tune changes the settings of one daemon; nil leaves them.
 	Tune func(*loader.Settings)
+	// Staged is called once the stand-ins run, before any daemon does; nil does nothing.
+	Staged func(*emulator.Stage)
+	// Listening is called with the address of each daemon before it runs; nil does nothing.
+	Listening func(domain emulator.Domain, peers string)
 	// Network returns the network of the n-th daemon of a failure domain; nil means the system's.
 	Network func(domain emulator.Domain, n int) dialer.Network
 }
@@ -63,6 +67,9 @@
 		return nil, err
 	}
 	s := &Stage{Stage: stand, Config: config}
+	if config.Staged != nil {
+		config.Staged(stand)
+	}
 	if err := s.applyAll(ctx); err != nil {
 		s.Close()
 		return nil, err
@@ -132,6 +139,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if s.Config.Listening != nil {
+		s.Config.Listening(domain, d.Settings().Peers)
+	}
 	node := &Node{Daemon: d, Ended: make(chan error, 1)}
 	s.Daemons = append(s.Daemons, node)
 	s.Platform.SetVM(declarer.VM{
