Last read: twins united, dead code out, a leaving link that ended can be made anew

Found and mended: - A link whose gateway said that it was leaving counted as unusable even after it had ended, until the membership forgot the daemon; a daemon that came back at once at the same address was avoided. It counts only while the link stands. - The list of documents stood in four places; the fleet of processes was set up twice; a load was converted in two places; pendingCall held one field; perDaemonQueries was Queries; Split had a condition that the other implied; Lane.InFlight had no caller; the comment of RouteDirect told of an earlier state.

Conclusion: behaviour is as before but for the link.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -85,9 +85,6 @@
 // Queued returns how many requests wait.
 func (l *Lane[T]) Queued() int { return len(l.queue) }
 
-// InFlight returns how many requests are at the server.
-func (l *Lane[T]) InFlight() int { return l.inFlight }
-
 // Limit returns the concurrency limit in force.
 func (l *Lane[T]) Limit() int { return max(1, int(l.limit)) }
 
--- a/internal/assigner/assigner.go
+++ b/internal/assigner/assigner.go
@@ -21,6 +21,8 @@
 	headroom = 0.2
 	// wantedConnections is how many connections a gateway should have at least.
 	wantedConnections = 4
+	// leastConnections is how many each daemon must be able to have for all to be gateways.
+	leastConnections = 2
 )
 
 // Budget is how a searcher's connections are split.
@@ -37,7 +39,7 @@
 	if daemons < 1 {
 		daemons = 1
 	}
-	if usable/daemons >= 2 || usable/daemons >= wantedConnections {
+	if usable/daemons >= leastConnections {
 		return Budget{Gateways: daemons, PerGateway: usable / daemons}
 	}
 	gateways := max(1, usable/wantedConnections)
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -195,8 +196,11 @@
 	d.fetching[name] = false
 }
 
+// documents names everything that daemons spread and need before they are ready.
+var documents = []string{declarer.DocumentDeclarations, declarer.DocumentIndexes, declarer.DocumentVMs}
+
 func knownDocument(name string) bool {
-	return name == declarer.DocumentDeclarations || name == declarer.DocumentIndexes || name == declarer.DocumentVMs
+	return slices.Contains(documents, name)
 }
 
 // take puts a document in force if it is newer, and tells others of it.
--- a/internal/daemon/relay.go
+++ b/internal/daemon/relay.go
@@ -206,7 +206,7 @@
 	d.decode(declarer.DocumentVMs, &list)
 	d.decode(declarer.DocumentDeclarations, &declarations)
 	d.decode(declarer.DocumentIndexes, &indexes)
-	for _, name := range []string{declarer.DocumentVMs, declarer.DocumentDeclarations, declarer.DocumentIndexes} {
+	for _, name := range documents {
 		d.applied[name] = d.register.InForce(name).Generation
 	}
 	d.view.Store(planner.New().WithDeclarations(declarations).WithIndexes(indexes).WithVMs(list.VMs))
--- a/internal/daemon/routing.go
+++ b/internal/daemon/routing.go
@@ -213,7 +213,7 @@
 	for _, searcher := range append(d.picker.Unheard(now, mine, probeInterval), cold...) {
 		go func() {
 			if load, ok := d.sender.Probe(searcher); ok {
-				d.picker.Probed(time.Now(), searcher, load)
+				d.picker.Probed(time.Now(), searcher, loadOf(load))
 			}
 		}()
 	}
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -99,7 +99,7 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for _, name := range []string{declarer.DocumentDeclarations, declarer.DocumentIndexes, declarer.DocumentVMs} {
+	for _, name := range documents {
 		if d.applied[name] == 0 {
 			why = append(why, "no "+name+" yet, neither from the platform nor from a peer")
 		}
--- a/internal/estimator/estimator.go
+++ b/internal/estimator/estimator.go
@@ -68,13 +68,11 @@
 	Size
 }
 
-func (e Estimate) perDaemonQueries() float64 { return e.QueriesPerSec / float64(e.Daemons) }
-
 // ShardRequests is shard requests per second of one daemon as entry, and as gateway.
-func (e Estimate) ShardRequests() float64 { return e.perDaemonQueries() * e.ShardsPerQuery }
+func (e Estimate) ShardRequests() float64 { return e.Queries() * e.ShardsPerQuery }
 
 // Queries is queries per second of one daemon.
-func (e Estimate) Queries() float64 { return e.perDaemonQueries() }
+func (e Estimate) Queries() float64 { return e.QueriesPerSec / float64(e.Daemons) }
 
 // EntryCores is the processor time of the entry role in cores.
 func (e Estimate) EntryCores() float64 { return e.ShardRequests() * e.EntryMicrosPerShard / 1e6 }
--- a/internal/linker/linker.go
+++ b/internal/linker/linker.go
@@ -73,18 +73,13 @@
 	}
 }
 
-// pendingCall is an attempt that was handed to a link and has not ended.
-type pendingCall struct {
-	deliver Deliver
-}
-
 // link is one exchange stream and what is out on it.
 type link struct {
 	address string
 	outbox  chan *messenger.EntryFrame
 
 	mu      sync.Mutex
-	pending map[uint64]pendingCall
+	pending map[uint64]Deliver
 	// heardAt is when the last frame came in, or the first request went out since.
 	heardAt time.Time
 	// downUntil is set when the stream breaks.
@@ -108,7 +103,7 @@
 func (k *link) usable(now time.Time) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.leaving || now.Before(k.downUntil) {
+	if k.leaving && !k.broken || now.Before(k.downUntil) {
 		return false
 	}
 	return len(k.pending) == 0 || now.Sub(k.heardAt) < silence
@@ -176,7 +171,7 @@
 	k = &link{
 		address: address,
 		outbox:  make(chan *messenger.EntryFrame, outboxSize),
-		pending: map[uint64]pendingCall{},
+		pending: map[uint64]Deliver{},
 		heardAt: now,
 		stop:    stop,
 	}
@@ -210,7 +205,7 @@
 		k.heardAt = now
 	}
 	for _, c := range batch.GetCalls() {
-		k.pending[c.GetAttempt()] = pendingCall{deliver: deliver}
+		k.pending[c.GetAttempt()] = deliver
 	}
 	return true
 }
@@ -286,7 +281,7 @@
 	k.heardAt = time.Now()
 	k.leaving = k.leaving || frame.GetLeaving()
 	for i, result := range frame.GetResults() {
-		delivers[i] = k.pending[result.GetAttempt()].deliver
+		delivers[i] = k.pending[result.GetAttempt()]
 		delete(k.pending, result.GetAttempt())
 	}
 	k.mu.Unlock()
@@ -305,8 +300,8 @@
 	k.broken = true
 	k.downUntil = time.Now().Add(downTime)
 	k.mu.Unlock()
-	for attempt, call := range pending {
-		call.deliver(&messenger.ShardResult{
+	for attempt, deliver := range pending {
+		deliver(&messenger.ShardResult{
 			Attempt: attempt,
 			Outcome: messenger.Outcome_UNKNOWN,
 			Reason:  messenger.Reason_LINK_LOST,
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -35,7 +35,7 @@
 	RouteAuto Route = "auto"
 	// RouteGateway always sends through a gateway that is another daemon.
 	RouteGateway Route = "gateway"
-	// RouteDirect always dials, whatever the connection limit.
+	// RouteDirect lets every daemon dial every searcher, in other failure domains, too.
 	RouteDirect Route = "direct"
 	// RouteOwner sends everything for a searcher through the one daemon that owns its queue.
 	RouteOwner Route = "owner"
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -12,7 +12,6 @@
 
 	"github.com/fuchsiastile/fuchsiastile/internal/admitter"
 	"github.com/fuchsiastile/fuchsiastile/internal/dialer"
-	"github.com/fuchsiastile/fuchsiastile/internal/framer"
 	"github.com/fuchsiastile/fuchsiastile/internal/messenger"
 )
 
@@ -92,10 +91,10 @@
 
 // Probe asks a searcher for its load and whether it is leaving, with a request
 // whose time is up, so that it is never run.
-func (s *Sender) Probe(searcher string) (framer.Load, bool) {
+func (s *Sender) Probe(searcher string) (*messenger.Load, bool) {
 	l, ok := s.lane(searcher)
 	if !ok {
-		return framer.Load{}, false
+		return nil, false
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
@@ -104,8 +103,7 @@
 	if result.GetDraining() {
 		s.config.OnDraining(searcher)
 	}
-	load := result.GetLoad()
-	return framer.Load{Slots: int(load.GetSlots()), InFlight: int(load.GetInFlight()), Queued: int(load.GetQueued())}, load != nil
+	return result.GetLoad(), result.GetLoad() != nil
 }
 
 // Cold reports whether there may be no open connection to a searcher.
--- a/internal/stager/process_test.go
+++ b/internal/stager/process_test.go
@@ -38,9 +38,9 @@
 // domains are the failure domains of the fleet, with their regions.
 var fleetDomains = [][2]string{{"caerdydd-a", "de-cymru"}, {"bangor-a", "gogledd"}, {"aberyst-a", "canolbarth"}}
 
-func newFleet(t *testing.T) *fleet {
+// newPlatform builds the programs and starts a fleet's platform.
+func newPlatform(t testing.TB) *fleet {
 	t.Helper()
-	is := is.New(t)
 	f := &fleet{
 		t:         t,
 		programs:  t.TempDir(),
@@ -56,6 +56,13 @@
 	t.Cleanup(f.close)
 	f.platform = f.net + "1:9000"
 	f.start("platform", "standin", "platform", "-listen", f.platform)
+	return f
+}
+
+func newFleet(t *testing.T) *fleet {
+	t.Helper()
+	is := is.New(t)
+	f := newPlatform(t)
 	for n := range 3 {
 		f.searcher("bookings", emulator.ShardName(0), n)
 		f.searcher("parts-finder", emulator.ShardName(0), n)
@@ -164,14 +171,21 @@
 		declarer.DocumentDeclarations: declarations,
 		declarer.DocumentIndexes:      []byte(mustJSON(indexes)),
 	} {
-		file := filepath.Join(f.programs, document)
-		if err := os.WriteFile(file, content, 0o600); err != nil {
+		if err := f.applyDocument(document, content); err != nil {
 			return err
 		}
-		out, err := exec.Command(filepath.Join(f.programs, "fuchsiastile"), "apply", "-platform", "http://"+f.platform, "-document", document, file).CombinedOutput()
-		if err != nil {
-			return fmt.Errorf("%w: %s", err, out)
-		}
+	}
+	return nil
+}
+
+func (f *fleet) applyDocument(document string, content []byte) error {
+	file := filepath.Join(f.programs, document)
+	if err := os.WriteFile(file, content, 0o600); err != nil {
+		return err
+	}
+	out, err := exec.Command(filepath.Join(f.programs, "fuchsiastile"), "apply", "-platform", "http://"+f.platform, "-document", document, file).CombinedOutput()
+	if err != nil {
+		return fmt.Errorf("%w: %s", err, out)
 	}
 	return nil
 }
--- a/internal/stager/slopes_test.go
+++ b/internal/stager/slopes_test.go
@@ -4,9 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"os"
-	"os/exec"
-	"path/filepath"
 	"runtime"
 	"strings"
 	"syscall"
@@ -147,14 +144,7 @@
 
 func roles(b *testing.B) {
 	is := is.New(b)
-	f := &fleet{t: b, programs: b.TempDir(), net: fmt.Sprintf("127.%d.%d.", 1+os.Getpid()%250, os.Getpid()/250%250), processes: map[string]*exec.Cmd{}, searchers: map[string]string{}}
-	out, err := exec.Command("go", "build", "-o", f.programs+"/", "../../cmd/fuchsiastile", "../../cmd/standin").CombinedOutput()
-	if err != nil {
-		b.Fatalf("%v: %s", err, out)
-	}
-	defer f.close()
-	f.platform = f.net + "1:9000"
-	f.start("platform", "standin", "platform", "-listen", f.platform)
+	f := newPlatform(b)
 	snapshot := declarer.Snapshot{Name: emulator.FirstSnapshot}
 	held := make([][]string, rolesSearchers)
 	for n := range rolesShards {
@@ -172,12 +162,7 @@
 	indexes := declarer.Indexes{Services: map[string]declarer.Snapshot{"parts-finder": snapshot}}
 	declarations := strings.Replace(string(examples.Olwyn), `"connectionLimit": 55`, `"connectionLimit": 400`, 1)
 	for document, content := range map[string]string{declarer.DocumentDeclarations: declarations, declarer.DocumentIndexes: mustJSON(indexes)} {
-		file := filepath.Join(f.programs, document)
-		is.NoErr(os.WriteFile(file, []byte(content), 0o600))
-		out, err := exec.Command(filepath.Join(f.programs, "fuchsiastile"), "apply", "-platform", "http://"+f.platform, "-document", document, file).CombinedOutput()
-		if err != nil {
-			b.Fatalf("%v: %s", err, out)
-		}
+		is.NoErr(f.applyDocument(document, []byte(content)))
 	}
 	for _, address := range f.operators {
 		for {
