The daemon of the project's own interface is split by what its parts do

router decides who may dial a searcher and with how many connections, without input or output; relayer keeps the documents and watches the platform. The daemon is left with callers, entry, tickets, membership and stopping. Errors of fetching news and documents from peers are logged.

--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -88,7 +88,7 @@
 		d.refuse(w, id, request, started, err)
 		return
 	}
-	if class, err := d.view.Load().Class(request.Class); err == nil && !class.Idempotent {
+	if class, err := d.documents.View().Class(request.Class); err == nil && !class.Idempotent {
 		err := failer.New("search", KindInvalid, "class %q is not idempotent; use /v1/once/{service}/{key}", class.Name)
 		d.refuse(w, id, request, started, err)
 		return
@@ -137,7 +137,7 @@
 func (d *Daemon) refuse(w http.ResponseWriter, id string, request caller.Request, started time.Time, err error) {
 	status, title := statusOf(err)
 	class := request.Class
-	if _, unknown := d.view.Load().Class(class); unknown != nil {
+	if _, unknown := d.documents.View().Class(class); unknown != nil {
 		class = undeclaredClass
 	}
 	outcome := refusedOutcome(request, err)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -22,7 +22,6 @@
 	"storj.io/drpc/drpcserver"
 
 	"github.com/fuchsiastile/fuchsiastile/internal/admitter"
-	"github.com/fuchsiastile/fuchsiastile/internal/configurator"
 	"github.com/fuchsiastile/fuchsiastile/internal/dialer"
 	"github.com/fuchsiastile/fuchsiastile/internal/failer"
 	"github.com/fuchsiastile/fuchsiastile/internal/gossiper"
@@ -31,8 +30,9 @@
 	"github.com/fuchsiastile/fuchsiastile/internal/loader"
 	"github.com/fuchsiastile/fuchsiastile/internal/messenger"
 	"github.com/fuchsiastile/fuchsiastile/internal/picker"
-	"github.com/fuchsiastile/fuchsiastile/internal/planner"
 	"github.com/fuchsiastile/fuchsiastile/internal/prober"
+	"github.com/fuchsiastile/fuchsiastile/internal/relayer"
+	"github.com/fuchsiastile/fuchsiastile/internal/router"
 	"github.com/fuchsiastile/fuchsiastile/internal/scheduler"
 	"github.com/fuchsiastile/fuchsiastile/internal/sender"
 	"github.com/fuchsiastile/fuchsiastile/internal/ticketer"
@@ -68,24 +68,15 @@
 	scheduler *scheduler.Scheduler
 	picker    *picker.Picker
 	gate      *admitter.Gate
-	register  *configurator.Register
+	documents *relayer.Relayer
+	router    *router.Router
 	sender    *sender.Sender
 	linker    *linker.Linker
-	platform  *watcher.Client
 	tickets   *ticketer.Table
 	metrics   *metrics
 	news      *newsBoard
 	members   *gossiper.Gossiper
 
-	// view is what plans are made from; routing is who is gateway of whom.
-	// Both are replaced whole.
-	view    atomic.Pointer[planner.View]
-	routing atomic.Pointer[routing]
-	// routeMu is held while routing is compiled.
-	routeMu sync.Mutex
-	// routeStale is set when routing must be compiled anew.
-	routeStale atomic.Bool
-
 	// attempts counts attempts up from a random start, so that no two
 	// incarnations share ids.
 	attempts atomic.Uint64
@@ -95,16 +86,8 @@
 	hedgers map[hedgerKey]*hedger.Hedger
 	// adopted holds the ticket tables that stopped daemons handed over.
 	adopted map[string]*ticketer.Table
-	// heardPeers holds the first peers heard of since the start, and highest the
-	// highest generation of each document that any peer named.
-	heardPeers map[string]bool
-	highest    map[string]uint64
-	// applied holds the generation of each document that the view was made from.
-	applied map[string]uint64
-	// fetching holds documents that are being fetched.
-	fetching map[string]bool
-	// liveInput is the set of live daemons that routing was last compiled from.
-	liveInput string
+	// fetchingNews is set while news is fetched from a peer.
+	fetchingNews atomic.Bool
 
 	stopping atomic.Bool
 	stop     chan struct{}
@@ -155,18 +138,13 @@
 		started:     time.Now(),
 		scheduler:   scheduler.New(),
 		gate:        admitter.NewGate(newRand()),
-		platform:    watcher.New(network, settings.Platform),
 		linker:      linker.New(network, tlsConfig),
 		metrics:     newMetrics(),
 		news:        newNewsBoard(time.Duration(settings.Tickets.Lifetime)),
 		hedgers:     map[hedgerKey]*hedger.Hedger{},
 		adopted:     map[string]*ticketer.Table{},
-		fetching:    map[string]bool{},
-		applied:     map[string]uint64{},
 		leaving:     make(chan struct{}),
 		handedOver:  make(chan struct{}),
-		heardPeers:  map[string]bool{},
-		highest:     map[string]uint64{},
 		stop:        make(chan struct{}),
 		listeners:   l,
 	}
@@ -191,10 +169,19 @@
 		Lifetime:    time.Duration(settings.Tickets.Lifetime),
 		Capacity:    settings.Tickets.Capacity,
 	})
-	d.register = configurator.New(checkDocument)
+	d.router = router.New(router.Config{Self: settings.Peers, Route: settings.Policy.Route})
+	d.documents = relayer.New(relayer.Config{
+		Platform:   watcher.New(network, settings.Platform),
+		Peer:       d.linker.Peer,
+		IsRelay:    d.isRelay,
+		Changed:    d.documentChanged,
+		Push:       func() { d.members.Push() },
+		OnCall:     d.metrics.platformCalls.Inc,
+		OnFailure:  d.metrics.platformFails.Inc,
+		OnFetched:  d.metrics.fetchedBytes.Add,
+		OnConflict: d.metrics.conflicts.Inc,
+	})
 	d.attempts.Store(newRand().Uint64())
-	d.view.Store(planner.New())
-	d.routing.Store(&routing{})
 	d.members = d.newGossiper()
 	d.callers = &http.Server{Handler: d.callersHandler(), ReadHeaderTimeout: 5 * time.Second}
 	d.operators = &http.Server{Handler: d.operatorsHandler(), ReadHeaderTimeout: 5 * time.Second}
@@ -295,10 +282,10 @@
 	add(func(ctx context.Context) error { return serve(ctx, d.operators, d.listeners.operators) }, func() { _ = d.operators.Close() })
 	add(func(ctx context.Context) error { return server.Serve(ctx, d.listeners.peers) }, func() { _ = d.listeners.peers.Close() })
 	add(func(context.Context) error { return d.members.Run() }, func() { _ = d.listeners.packets.Close() })
-	add(d.relay, func() {})
+	add(d.documents.Run, func() {})
 	add(d.awaitStop, func() {})
 	d.members.Start(time.Now())
-	d.scheduler.Every(routingInterval, func(time.Time) { d.refreshRouting() })
+	d.scheduler.Every(routingInterval, func(time.Time) { d.refreshRoutes() })
 	d.scheduler.Every(probeInterval, func(now time.Time) { d.probeSearchers(now) })
 	err := group.Run()
 	d.linker.Close()
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -60,7 +60,7 @@
 // search runs one idempotent query and returns its answer.
 func (d *Daemon) search(ctx context.Context, request caller.Request, id string) (caller.Answer, error) {
 	started := time.Now()
-	view := d.view.Load()
+	view := d.documents.View()
 	class, err := view.Class(request.Class)
 	if err != nil {
 		return caller.Answer{}, err
@@ -107,7 +107,7 @@
 			return d.picker.Pick(time.Now(), plan.Rule, candidates, excluded)
 		},
 		Replan: func() (planner.Plan, bool) {
-			plan, err := d.view.Load().Plan(request.Service)
+			plan, err := d.documents.View().Plan(request.Service)
 			return plan, err == nil
 		},
 	})
--- a/internal/daemon/news.go
+++ b/internal/daemon/news.go
@@ -20,8 +20,8 @@
 	freshTime = 30 * time.Second
 	// newsFetchPause spaces fetching news from peers that have other news.
 	newsFetchPause = 500 * time.Millisecond
-	// newsDocument names the fetching of news among that of documents.
-	newsDocument = "news"
+	// newsTimeout bounds fetching news from a peer.
+	newsTimeout = 2 * time.Second
 )
 
 // holding is who has the tickets of an incarnation that stopped.
@@ -147,7 +147,7 @@
 		d.picker.HeardDomain(now, domain)
 		return
 	}
-	if d.beginFetch(newsDocument) {
+	if d.fetchingNews.CompareAndSwap(false, true) {
 		go d.fetchNews(packet.GetFrom(), domain)
 	}
 }
@@ -163,11 +163,12 @@
 
 // fetchNews learns all news of a peer.
 func (d *Daemon) fetchNews(from, domain string) {
-	defer d.endFetch(newsDocument)
-	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
+	defer d.fetchingNews.Store(false)
+	ctx, cancel := context.WithTimeout(context.Background(), newsTimeout)
 	defer cancel()
 	news, err := d.linker.Peer(ctx, from).ListNews(ctx, &messenger.News{})
 	if err != nil {
+		klog.InfoS("peer gave no news", "peer", from, "cause", err.Error())
 		return
 	}
 	now := time.Now()
--- a/internal/daemon/once.go
+++ b/internal/daemon/once.go
@@ -77,11 +77,11 @@
 // once runs a non-idempotent request at most once. Its ticket decides which
 // daemon may send it on; a class may let callers go without one.
 func (d *Daemon) once(ctx context.Context, request caller.Request, id string) (*messenger.OnceReply, declarer.Class, error) {
-	class, err := d.view.Load().Class(request.Class)
+	class, err := d.documents.View().Class(request.Class)
 	if err != nil {
 		return nil, class, err
 	}
-	if _, err := d.view.Load().Plan(request.Service); err != nil {
+	if _, err := d.documents.View().Plan(request.Service); err != nil {
 		return nil, class, err
 	}
 	if class.Idempotent {
@@ -230,7 +230,7 @@
 // sendOnce sends the request to one searcher, and to another only while it is
 // certain that none has run it.
 func (d *Daemon) sendOnce(message *messenger.OnceRequest) (*messenger.ShardResult, string) {
-	view := d.view.Load()
+	view := d.documents.View()
 	class, err := view.Class(message.GetClass())
 	if err != nil {
 		return &messenger.ShardResult{Outcome: messenger.Outcome_NOT_RUN}, err.Error()
@@ -239,7 +239,7 @@
 	last := &messenger.ShardResult{Outcome: messenger.Outcome_NOT_RUN, Reason: messenger.Reason_NOT_GATEWAY}
 	var excluded []string
 	for range onceAttempts {
-		plan, err := d.view.Load().Plan(message.GetService())
+		plan, err := d.documents.View().Plan(message.GetService())
 		if err != nil {
 			return last, err.Error()
 		}
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -9,14 +9,6 @@
 	"time"
 
 	"github.com/fuchsiastile/fuchsiastile/internal/prober"
-	"github.com/fuchsiastile/fuchsiastile/pkg/declarer"
-)
-
-const (
-	// syncPeers is how many peers a new daemon compares generations with.
-	syncPeers = 2
-	// syncTime bounds the wait for them, since all may be out of reach.
-	syncTime = 5 * time.Second
 )
 
 // DocumentStatus is one document in force.
@@ -94,36 +86,7 @@
 	if d.stopping.Load() {
 		why = append(why, "the daemon is stopping")
 	}
-	if d.syncing() {
-		why = append(why, "generations have not been compared with enough peers yet")
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for _, name := range documents {
-		if d.applied[name] == 0 {
-			why = append(why, "no "+name+" yet, neither from the platform nor from a peer")
-		}
-	}
-	return why
-}
-
-// syncing reports whether this daemon may still be behind its peers: it has not
-// heard of enough of them, or one has a newer document that is being fetched. A
-// platform that was restored to an older state must not decide what a new
-// daemon serves while peers know better.
-func (d *Daemon) syncing() bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	others := len(d.members.Members()) - 1
-	if len(d.heardPeers) < min(syncPeers, others) && time.Since(d.started) < syncTime {
-		return true
-	}
-	for name, generation := range d.highest {
-		if d.register.InForce(name).Generation < generation && name != declarer.DocumentVMs {
-			return true
-		}
-	}
-	return false
+	return append(why, d.documents.NotReady(len(d.members.Members())-1)...)
 }
 
 // Status returns the status document.
@@ -151,7 +114,7 @@
 	status.FetchedBytes = d.metrics.fetchedBytes.Get()
 	status.PlatformCalls = d.metrics.platformCalls.Get()
 	status.HeapBytes = heapBytes()
-	for _, document := range d.register.All() {
+	for _, document := range d.documents.All() {
 		status.Documents[document.Name] = DocumentStatus{Generation: document.Generation, Digest: document.Digest, Since: document.Since}
 	}
 	for searcher := range d.picker.DrainingServers(now) {
--- a/internal/daemon/document_test.go
+++ b/internal/relayer/document_test.go
@@ -1,4 +1,4 @@
-package daemon
+package relayer
 
 import (
 	"encoding/json"
--- a/internal/daemon/relay.go
+++ b/internal/relayer/relay.go
@@ -1,17 +1,16 @@
-package daemon
+package relayer
 
 import (
 	"context"
 	"encoding/json"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
 	"k8s.io/klog/v2"
 
-	"github.com/fuchsiastile/fuchsiastile/internal/assigner"
 	"github.com/fuchsiastile/fuchsiastile/internal/configurator"
+	"github.com/fuchsiastile/fuchsiastile/internal/failer"
 	"github.com/fuchsiastile/fuchsiastile/internal/messenger"
 	"github.com/fuchsiastile/fuchsiastile/internal/packer"
 	"github.com/fuchsiastile/fuchsiastile/internal/planner"
@@ -22,8 +21,6 @@
 )
 
 const (
-	// relaysPerDomain is how many daemons of a failure domain watch the platform.
-	relaysPerDomain = 2
 	// watchWait is how long the platform holds a read open.
 	watchWait = 20 * time.Second
 	// relayRecheck is how often a daemon that is no relay looks whether it has become one.
@@ -37,28 +34,28 @@
 	vmListInterval = 2 * time.Second
 )
 
-// relay watches the platform while this daemon is one of its domain's relays.
-func (d *Daemon) relay(ctx context.Context) error {
+// Run watches the platform while this daemon is one of its domain's relays.
+func (r *Relayer) Run(ctx context.Context) error {
 	var wait sync.WaitGroup
 	watch := func(read func(ctx context.Context) error) {
 		wait.Add(1)
 		go func() {
 			defer wait.Done()
-			d.watchWhileRelay(ctx, read)
+			r.watchWhileRelay(ctx, read)
 		}()
 	}
 	for _, name := range []string{declarer.DocumentDeclarations, declarer.DocumentIndexes} {
 		version := uint64(0)
 		watch(func(ctx context.Context) error {
 			var err error
-			version, err = d.relayDocument(ctx, name, version)
+			version, err = r.relayDocument(ctx, name, version)
 			return err
 		})
 	}
 	version := uint64(0)
 	watch(func(ctx context.Context) error {
 		var err error
-		version, err = d.relayVMs(ctx, version)
+		version, err = r.relayVMs(ctx, version)
 		return err
 	})
 	wait.Wait()
@@ -66,45 +63,30 @@
 }
 
 // watchWhileRelay repeats a waiting read, with a growing wait after failures.
-func (d *Daemon) watchWhileRelay(ctx context.Context, read func(ctx context.Context) error) {
+func (r *Relayer) watchWhileRelay(ctx context.Context, read func(ctx context.Context) error) {
 	backoff := minBackoff
 	for ctx.Err() == nil {
-		if !d.isRelay() {
+		if !r.config.IsRelay() {
 			scheduler.Sleep(ctx, relayRecheck)
 			continue
 		}
-		d.metrics.platformCalls.Inc()
+		r.config.OnCall()
 		err := read(ctx)
 		if err == nil {
 			backoff = minBackoff
 			continue
 		}
-		if ctx.Err() == nil && !kindIs(err, watcher.KindAbsent) {
-			d.metrics.platformFails.Inc()
+		if ctx.Err() == nil && !failer.Is(err, watcher.KindAbsent) {
+			r.config.OnFailure()
 		}
 		scheduler.Sleep(ctx, backoff/2+rand.N(backoff))
 		backoff = min(2*backoff, maxBackoff)
 	}
 }
 
-// isRelay reports whether rendezvous hashing picks this daemon in its domain.
-// Two daemons that disagree cost the platform a watch, and nothing else.
-func (d *Daemon) isRelay() bool {
-	if d.stopping.Load() {
-		return false
-	}
-	var near []string
-	for _, m := range d.liveDaemons() {
-		if m.GetFailureDomain() == d.settings.FailureDomain {
-			near = append(near, m.GetAddress())
-		}
-	}
-	return slices.Contains(assigner.Top("relay", near, relaysPerDomain), d.settings.Peers)
-}
-
 // relayDocument waits for a head above a version and takes its content.
-func (d *Daemon) relayDocument(ctx context.Context, name string, after uint64) (uint64, error) {
-	object, err := d.platform.Object(ctx, publisher.HeadName(name), after, watchWait)
+func (r *Relayer) relayDocument(ctx context.Context, name string, after uint64) (uint64, error) {
+	object, err := r.config.Platform.Object(ctx, publisher.HeadName(name), after, watchWait)
 	if err != nil {
 		return 0, err
 	}
@@ -116,14 +98,14 @@
 		klog.ErrorS(err, "head is unreadable", "document", name)
 		return object.Version, nil
 	}
-	if d.register.Consider(name, head.Generation, head.Digest) != configurator.Wanted {
+	if r.register.Consider(name, head.Generation, head.Digest) != configurator.Wanted {
 		return object.Version, nil
 	}
-	content, err := d.platform.Object(ctx, publisher.ContentName(name, head.Digest), 0, 0)
+	content, err := r.config.Platform.Object(ctx, publisher.ContentName(name, head.Digest), 0, 0)
 	if err != nil {
 		return after, err
 	}
-	verdict := d.take(configurator.Document{Name: name, Generation: head.Generation, Digest: head.Digest, Content: content.Value})
+	verdict := r.take(configurator.Document{Name: name, Generation: head.Generation, Digest: head.Digest, Content: content.Value})
 	if verdict == configurator.Corrupt {
 		klog.InfoS("document rejected", "document", name, "generation", head.Generation)
 	}
@@ -131,8 +113,8 @@
 }
 
 // relayVMs waits for a VM list above a version and takes it.
-func (d *Daemon) relayVMs(ctx context.Context, after uint64) (uint64, error) {
-	list, err := d.platform.VMs(ctx, after, watchWait)
+func (r *Relayer) relayVMs(ctx context.Context, after uint64) (uint64, error) {
+	list, err := r.config.Platform.VMs(ctx, after, watchWait)
 	if err != nil {
 		return 0, err
 	}
@@ -143,7 +125,7 @@
 	if err != nil {
 		return after, err
 	}
-	d.take(configurator.Document{
+	r.take(configurator.Document{
 		Name:       declarer.DocumentVMs,
 		Generation: list.Version,
 		Digest:     configurator.Digest(content),
@@ -154,20 +136,22 @@
 }
 
 // fetch gets a document from a peer.
-func (d *Daemon) fetch(from, name string) {
-	defer d.endFetch(name)
+func (r *Relayer) fetch(from, name string) {
+	defer r.endFetch(name)
 	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
 	defer cancel()
-	reply, err := d.linker.Peer(ctx, from).Fetch(ctx, &messenger.FetchRequest{Document: name})
+	reply, err := r.config.Peer(ctx, from).Fetch(ctx, &messenger.FetchRequest{Document: name})
 	if err != nil {
+		klog.InfoS("peer gave no document", "document", name, "peer", from, "cause", err.Error())
 		return
 	}
-	d.metrics.fetchedBytes.Add(len(reply.GetContent()))
+	r.config.OnFetched(len(reply.GetContent()))
 	content, err := packer.Unpack(reply.GetContent())
 	if err != nil {
+		klog.ErrorS(err, "document from a peer is unreadable", "document", name, "peer", from)
 		return
 	}
-	d.take(configurator.Document{
+	r.take(configurator.Document{
 		Name:       name,
 		Generation: reply.GetGeneration(),
 		Digest:     reply.GetDigest(),
@@ -191,31 +175,29 @@
 
 // apply makes a new view of the documents in force, of which one has changed.
 // All of them were checked.
-func (d *Daemon) apply(changed string) {
-	d.mu.Lock()
+func (r *Relayer) apply(changed string) {
+	r.mu.Lock()
 	var list declarer.VMList
 	var declarations declarer.Declarations
 	var indexes declarer.Indexes
-	d.decode(declarer.DocumentVMs, &list)
-	d.decode(declarer.DocumentDeclarations, &declarations)
-	d.decode(declarer.DocumentIndexes, &indexes)
+	r.decode(declarer.DocumentVMs, &list)
+	r.decode(declarer.DocumentDeclarations, &declarations)
+	r.decode(declarer.DocumentIndexes, &indexes)
 	for _, name := range documents {
-		d.applied[name] = d.register.InForce(name).Generation
+		r.applied[name] = r.register.InForce(name).Generation
 	}
-	d.view.Store(planner.New().WithDeclarations(declarations).WithIndexes(indexes).WithVMs(list.VMs))
-	if changed == declarer.DocumentDeclarations {
-		// Rules may have changed, which hedgers are made from.
-		clear(d.hedgers)
-	}
-	d.mu.Unlock()
-	d.members.Seed(entryMembers(list.VMs))
-	d.routeStale.Store(true)
-	d.refreshRouting()
+	r.view.Store(planner.New().WithDeclarations(declarations).WithIndexes(indexes).WithVMs(list.VMs))
+	r.mu.Unlock()
+	r.config.Changed(changed, entryMembers(list.VMs))
 }
 
-func (d *Daemon) decode(name string, into any) {
-	if content := d.register.InForce(name).Content; len(content) > 0 {
-		_ = declarer.Decode(name, content, into)
+func (r *Relayer) decode(name string, into any) {
+	content := r.register.InForce(name).Content
+	if len(content) == 0 {
+		return
+	}
+	if err := declarer.Decode(name, content, into); err != nil {
+		klog.ErrorS(err, "document in force is unreadable", "document", name)
 	}
 }
 
--- a/internal/daemon/routing_test.go
+++ b/internal/router/router_test.go
@@ -1,4 +1,4 @@
-package daemon
+package router
 
 import (
 	"testing"
@@ -27,23 +27,23 @@
 	is := is.New(t)
 	start := time.Now()
 	at := func(span time.Duration) time.Time { return start.Add(span) }
-	routingOf := func(connections int, gateways ...string) *routing {
-		return &routing{routes: map[string]route{"searcher": {gateways: gateways, self: true, connections: connections}}}
+	tableOf := func(connections int, gateways ...string) *table {
+		return &table{routes: map[string]route{"searcher": {gateways: gateways, self: true, connections: connections}}}
 	}
 
-	alone := routingOf(4, "a").after(&routing{}, start)
+	alone := tableOf(4, "a").after(&table{}, start)
 	is.Equal(alone.routes["searcher"].allowed(start), 1)
 	is.Equal(alone.routes["searcher"].allowed(at(takeOverTime)), 4)
 
-	two := routingOf(2, "a", "b").after(alone, at(takeOverTime))
+	two := tableOf(2, "a", "b").after(alone, at(takeOverTime))
 	is.Equal(two.routes["searcher"].allowed(at(takeOverTime)), 2)
-	same := routingOf(2, "a", "b").after(two, at(2*takeOverTime))
+	same := tableOf(2, "a", "b").after(two, at(2*takeOverTime))
 	is.Equal(same.routes["searcher"].since, two.routes["searcher"].since)
 
-	other := routingOf(4, "a").after(same, at(3*takeOverTime))
+	other := tableOf(4, "a").after(same, at(3*takeOverTime))
 	is.Equal(other.routes["searcher"].allowed(at(3*takeOverTime)), 2)
 	is.Equal(other.routes["searcher"].allowed(at(4*takeOverTime)), 4)
 
-	none := &routing{routes: map[string]route{"searcher": {gateways: []string{"b"}}}}
+	none := &table{routes: map[string]route{"searcher": {gateways: []string{"b"}}}}
 	is.Equal(none.after(other, at(5*takeOverTime)).routes["searcher"].allowed(at(5*takeOverTime)), 0)
 }
