--- a/internal/responder/connections.go
+++ b/internal/responder/connections.go
@@ -52,7 +52,7 @@
 	for _, service := range state.Fleet.Services() {
 		list := state.Fleet.Searchers(service)
 		fitting := assigner.Reach(connectionLimit(state, service), state.Daemons, len(list))
-		if fitting == len(list) {
+		if fitting == len(list) || !r.has(PolicyReach) {
 			made.searchers[service] = list
 			continue
 		}
@@ -107,6 +107,9 @@
 // warm makes connections to searchers of shards that have none, so that a hedge
 // to another region does not pay for one.
 func (r *Responder) warm(state *follower.State) {
+	if !r.has(PolicyWarm) {
+		return
+	}
 	left := warmPerSweep
 	seen := map[string]bool{}
 	for _, route := range state.Table.Configuration().Routes {
--- a/internal/responder/responder.go
+++ b/internal/responder/responder.go
@@ -9,6 +9,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -69,8 +70,10 @@
 	OnDisplaced func(key string)
 	// Stopping reports whether the daemon stops; callers are told to leave.
 	Stopping func() bool
-	Metrics  *Metrics
-	Rand     *rand.Rand
+	// Without lists policies that are switched off, for comparisons.
+	Without []Policy
+	Metrics *Metrics
+	Rand    *rand.Rand
 }
 
 // Responder is safe for concurrent use.
@@ -103,12 +106,16 @@
 // New returns a responder.
 func New(config Config) *Responder {
 	now := time.Now()
+	replica := picker.PolicyLoadAware
+	if slices.Contains(config.Without, PolicyLoadAware) {
+		replica = picker.PolicyRandom
+	}
 	r := &Responder{
 		config: config,
 		picker: picker.New(picker.Config{
 			FailureDomain: config.Settings.FailureDomain,
 			Region:        config.Settings.Region,
-			Policy:        picker.PolicyLoadAware,
+			Policy:        replica,
 			Rand:          config.Rand,
 			Direct:        true,
 			MaxEject:      maxEject,
--- a/internal/responder/runner.go
+++ b/internal/responder/runner.go
@@ -123,24 +123,37 @@
 		Deadline:     c.deadline,
 		MaxSearchers: c.route.MaxSearchers,
 		Once:         !c.route.Idempotent,
-		AskAgain:     true,
+		AskAgain:     r.has(PolicyAgain),
 		Needed:       1,
 		NextAttempt:  func() uint64 { return r.attempts.Add(1) },
 		Spend:        run.spend,
 		Pick:         run.pick,
 		Replan:       func() (planner.Plan, bool) { return planner.Plan{}, false },
 	}
-	if c.route.Idempotent {
-		config.HedgeDelay = run.hedger.DelayWithin(c.route.Objective, isWarm(run.state, plan.Shards[0].Name))
+	if c.route.Idempotent && r.has(PolicyHedge) {
+		config.HedgeDelay = run.hedgeDelay(plan)
 	}
-	if c.route.IsGather() {
-		config.Needed = c.route.NeededShards()
+	if !c.route.IsGather() {
+		return config
+	}
+	config.Needed = c.route.NeededShards()
+	if r.has(PolicyHopeless) {
 		config.Hopeless = func(shard planner.Shard) bool { return r.picker.Hopeless(time.Now(), shard.Candidates) }
+	}
+	if r.has(PolicyThin) {
 		config.ThinAt = c.arrived.Add(c.route.Objective - objectiveReserve)
 	}
 	return config
 }
 
+func (run *runner) hedgeDelay(plan planner.Plan) time.Duration {
+	if !run.responder.has(PolicyEarlyHedge) {
+		delay, _ := run.hedger.Delay()
+		return delay
+	}
+	return run.hedger.DelayWithin(run.call.route.Objective, isWarm(run.state, plan.Shards[0].Name))
+}
+
 // pick chooses among the candidates that still take work.
 func (run *runner) pick(candidates []planner.Searcher, excluded []string) (string, bool) {
 	current := run.responder.config.State().Fleet.Keys()
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -63,7 +63,9 @@
 	SettingsFile string
 	// MetricsPort is the port of the metrics on the VM's address; 0 serves none.
 	MetricsPort int
-	Network     dialer.Network
+	// Without lists policies that are switched off, for comparisons.
+	Without []responder.Policy
+	Network dialer.Network
 }
 
 // Supervisor is one daemon.
@@ -129,6 +131,7 @@
 		Stopping:  s.stopping.Load,
 
 		OnDisplaced: s.follower.TellDisplaced,
+		Without:     config.Without,
 		Metrics:     responder.NewMetrics(s.metrics),
 		Rand:        newRand(),
 	})
