--- a/internal/daemon/once.go
+++ b/internal/daemon/once.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"k8s.io/klog/v2"
 
 	"github.com/fuchsiastile/fuchsiastile/internal/failer"
 	"github.com/fuchsiastile/fuchsiastile/internal/messenger"
@@ -62,7 +63,10 @@
 		answer.Outcome = caller.OutcomeAnswered
 		answer.Coverage.Answered = 1
 		answer.Coverage.Fraction = 1
-		_ = json.Unmarshal(reply.GetHits(), &answer.Hits)
+		if err := json.Unmarshal(reply.GetHits(), &answer.Hits); err != nil {
+			// The request has run; only what it said is lost.
+			klog.ErrorS(err, "result of a request that ran is unreadable", "id", id, "service", request.Service)
+		}
 	case messenger.Outcome_NOT_RUN:
 		answer.Outcome = caller.OutcomeNotRun
 	case messenger.Outcome_UNKNOWN, messenger.Outcome_OUTCOME_UNSPECIFIED:
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -24,6 +24,7 @@
 	"github.com/fuchsiastile/fuchsiastile/internal/dialer"
 	"github.com/fuchsiastile/fuchsiastile/internal/failer"
 	"github.com/fuchsiastile/fuchsiastile/internal/follower"
+	"github.com/fuchsiastile/fuchsiastile/internal/planner"
 	"github.com/fuchsiastile/fuchsiastile/internal/responder"
 	"github.com/fuchsiastile/fuchsiastile/internal/scheduler"
 	"github.com/fuchsiastile/fuchsiastile/platform"
@@ -39,10 +40,6 @@
 type Error = failer.Error[Kind]
 
 const (
-	// headerTimeout and idleTimeout bound a caller's connection; they are above
-	// what operators declare for callers, so that a caller never loses the race.
-	headerTimeout = 10 * time.Second
-	idleTimeout   = 60 * time.Second
 	// leaveTime is how long a stopping daemon goes on taking connections: the
 	// balancer asks once a second and leaves after two misses.
 	leaveTime = 2700 * time.Millisecond
@@ -84,7 +81,8 @@
 	kill     chan struct{}
 	killOnce sync.Once
 	// hup asks for the settings to be read again.
-	hup chan struct{}
+	hup   chan struct{}
+	idler *idler
 	// servers are the HTTP servers with their open sockets.
 	callers, probes, counters listening
 }
@@ -103,7 +101,7 @@
 	}
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryBytes)))
-	s := &Supervisor{config: config, metrics: vm.NewSet(), scheduler: scheduler.New(), stop: make(chan struct{}), kill: make(chan struct{}), hup: make(chan struct{}, 1)}
+	s := &Supervisor{config: config, metrics: vm.NewSet(), scheduler: scheduler.New(), idler: newIdler(), stop: make(chan struct{}), kill: make(chan struct{}), hup: make(chan struct{}, 1)}
 	s.settings.Store(&settings)
 	storeCalls := s.metrics.NewCounter("platformCallsTotal")
 	s.follower, err = follower.New(follower.Config{
@@ -135,6 +133,7 @@
 		Metrics:     responder.NewMetrics(s.metrics),
 		Rand:        newRand(),
 	})
+	s.scheduler.Every(idleInterval, s.closeIdle)
 	if err := s.listen(settings); err != nil {
 		return nil, err
 	}
@@ -164,12 +163,23 @@
 			s.closeSockets()
 			return failer.Wrap("listen on "+one.address, KindListen, err)
 		}
-		server := &http.Server{Handler: one.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+		server := &http.Server{Handler: one.handler, ReadHeaderTimeout: backstopTime, IdleTimeout: backstopTime, ConnState: s.idler.note}
 		*one.into = listening{Server: server, listener: l}
 	}
 	return nil
 }
 
+// closeIdle ends connections that callers leave unused for too long.
+func (s *Supervisor) closeIdle(now time.Time) {
+	var limits planner.Limits
+	if state := s.follower.State(); state.Ready() {
+		limits = state.Table.Configuration().Limits
+	}
+	if n := s.idler.sweep(now, limits.HeaderTimeout, limits.IdleTimeout); n > 0 {
+		klog.V(1).InfoS("unused connections closed", "connections", n)
+	}
+}
+
 // closeSockets ends a daemon that was not run.
 func (s *Supervisor) closeSockets() {
 	for _, one := range []listening{s.callers, s.probes, s.counters} {
