A changed document is packed once, and passed on packed as it came

A daemon compressed the whole list of 1,200 searchers anew for each of the hundred daemons of its failure domain that fetched it, on a VM with a quarter of a processor.

Ruled out: reading the store (acknowledged after 33 ms at every size), and spreading by rounds of the membership (heads are told directly).

Change: the compressed content is kept with the content; one that was fetched is passed on as it came, and not encoded again either.

--- a/internal/follower/document.go
+++ b/internal/follower/document.go
@@ -46,6 +46,10 @@
 	// returned is told when the store is back after an outage, before changed is.
 	returned func(now time.Time, before time.Time)
 
+	// packing is held while content is compressed; packs counts how often it was.
+	packing sync.Mutex
+	packs   int
+
 	mu      sync.Mutex
 	refresh *refresher.Refresher
 	// entries is replaced whole, never changed.
@@ -58,8 +62,9 @@
 	generation uint64
 	// digest names the content of entries; two daemons with the same digest know the same.
 	digest string
-	// content is entries, encoded.
-	content []byte
+	// content is entries, encoded, and packed the same, compressed; packed is nil
+	// until a peer asks for it.
+	content, packed []byte
 	// fetching is set while the content is fetched from a peer.
 	fetching bool
 	// stale is set when the history after asOf is gone from the store, or a watch
@@ -186,23 +191,36 @@
 	case len(entries) == 0:
 		from = watchedNothing
 	}
-	d.adopt(now, now, next, asOf, from)
-}
-
-// adopt replaces the content by one that the store confirmed at a moment.
-func (d *document[T]) adopt(now, confirmed time.Time, next map[string]T, asOf uint64, from source) {
 	var content []byte
-	var digest string
 	if from != watchedNothing {
 		var err error
 		if content, err = json.Marshal(next); err != nil {
 			klog.ErrorS(err, "document not encoded", "document", d.name)
 			return
 		}
-		digest = configurator.Digest(content)[:headDigest]
+	}
+	d.adopt(now, version[T]{confirmed: now, entries: next, content: content, asOf: asOf}, from)
+}
+
+// version is one content of a document.
+type version[T any] struct {
+	// confirmed is when the store said so, and asOf the revision that it gave.
+	confirmed time.Time
+	asOf      uint64
+	entries   map[string]T
+	// content is entries, encoded, as the daemon that read the store did that, and
+	// packed the same, compressed, where that is known.
+	content, packed []byte
+}
+
+// adopt replaces the content by one that the store confirmed at a moment.
+func (d *document[T]) adopt(now time.Time, next version[T], from source) {
+	var digest string
+	if from != watchedNothing {
+		digest = configurator.Digest(next.content)[:headDigest]
 	}
 	d.mu.Lock()
-	if asOf < d.generation {
+	if next.asOf < d.generation {
 		d.mu.Unlock()
 		return
 	}
@@ -218,24 +236,24 @@
 		// A watch of this daemon's own would have to start from a list.
 		d.stale = true
 	}
-	d.refresh.Heard(confirmed)
+	d.refresh.Heard(next.confirmed)
 	changed := from != watchedNothing && digest != d.digest
 	dropped := map[string]T{}
 	if changed {
 		for name, value := range d.entries {
-			if _, ok := next[name]; !ok {
+			if _, ok := next.entries[name]; !ok {
 				dropped[name] = value
 			}
 		}
-		d.entries, d.content, d.digest = next, content, digest
+		d.entries, d.content, d.packed, d.digest = next.entries, next.content, next.packed, digest
 	}
 	if from != watchedNothing {
-		d.generation = asOf
+		d.generation = next.asOf
 	}
 	d.mu.Unlock()
 	d.returned(now, before)
 	if changed {
-		d.changed(now, next, dropped)
+		d.changed(now, next.entries, dropped)
 	}
 }
 
@@ -295,7 +313,11 @@
 		klog.ErrorS(err, "document from a peer is unreadable", "document", d.name)
 		return false
 	}
-	d.adopt(now, now.Add(-age), next, reply.GetGeneration(), fetched)
+	// What came packed is passed on as it is: packing a long list for each of a
+	// hundred daemons takes a small VM seconds.
+	d.adopt(now, version[T]{
+		confirmed: now.Add(-age), entries: next, content: content, packed: reply.GetContent(), asOf: reply.GetGeneration(),
+	}, fetched)
 	return true
 }
 
@@ -306,9 +328,37 @@
 	if confirmed := d.refresh.ConfirmedAt(); !confirmed.IsZero() {
 		out.AgeMillis = uint32(max(0, time.Since(confirmed).Milliseconds()))
 	}
-	content := d.content
+	content, packed := d.content, d.packed
 	d.mu.Unlock()
-	var err error
-	out.Content, err = packer.Pack(content)
-	return out, err
+	if packed != nil {
+		out.Content = packed
+		return out, nil
+	}
+	return out, d.pack(content, out)
+}
+
+// pack compresses the content for a reply, once for all that ask for it.
+func (d *document[T]) pack(content []byte, out *messenger.FetchReply) error {
+	d.packing.Lock()
+	defer d.packing.Unlock()
+	d.mu.Lock()
+	if d.digest == out.GetDigest() && d.packed != nil {
+		out.Content = d.packed
+	}
+	d.mu.Unlock()
+	if out.GetContent() != nil {
+		return nil
+	}
+	packed, err := packer.Pack(content)
+	if err != nil {
+		return err
+	}
+	out.Content = packed
+	d.packs++
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.digest == out.GetDigest() {
+		d.packed = packed
+	}
+	return nil
 }
