--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -170,8 +170,18 @@
 		Capacity:    settings.Tickets.Capacity,
 	})
 	d.router = router.New(router.Config{Self: settings.Peers, Route: settings.Policy.Route})
-	d.documents = relayer.New(relayer.Config{
-		Platform:   watcher.New(network, settings.Platform),
+	d.documents = d.newRelayer(network)
+	d.attempts.Store(newRand().Uint64())
+	d.members = d.newGossiper()
+	d.callers = &http.Server{Handler: d.callersHandler(), ReadHeaderTimeout: 5 * time.Second}
+	d.operators = &http.Server{Handler: d.operatorsHandler(), ReadHeaderTimeout: 5 * time.Second}
+	d.seed(settings.Seeds)
+	return d, nil
+}
+
+func (d *Daemon) newRelayer(network dialer.Network) *relayer.Relayer {
+	return relayer.New(relayer.Config{
+		Platform:   watcher.New(network, d.settings.Platform),
 		Peer:       d.linker.Peer,
 		IsRelay:    d.isRelay,
 		Changed:    d.documentChanged,
@@ -181,12 +191,6 @@
 		OnFetched:  d.metrics.fetchedBytes.Add,
 		OnConflict: d.metrics.conflicts.Inc,
 	})
-	d.attempts.Store(newRand().Uint64())
-	d.members = d.newGossiper()
-	d.callers = &http.Server{Handler: d.callersHandler(), ReadHeaderTimeout: 5 * time.Second}
-	d.operators = &http.Server{Handler: d.operatorsHandler(), ReadHeaderTimeout: 5 * time.Second}
-	d.seed(settings.Seeds)
-	return d, nil
 }
 
 func (d *Daemon) newGossiper() *gossiper.Gossiper {
--- a/internal/gossiper/gossiper_test.go
+++ b/internal/gossiper/gossiper_test.go
@@ -53,7 +53,7 @@
 	t.Cleanup(func() {
 		timers.Close()
 		_ = socket.Close()
-		<-ended
+		is.NoErr(<-ended)
 	})
 	return m
 }
--- a/internal/supervisor/idler_test.go
+++ b/internal/supervisor/idler_test.go
@@ -1,8 +1,10 @@
 package supervisor
 
 import (
+	"errors"
 	"net"
 	"net/http"
+	"os"
 	"testing"
 	"time"
 
@@ -23,8 +25,7 @@
 	isOpen := func(c net.Conn) bool {
 		_ = c.SetReadDeadline(time.Now())
 		_, err := c.Read(make([]byte, 1))
-		timeout, ok := err.(net.Error)
-		return ok && timeout.Timeout()
+		return errors.Is(err, os.ErrDeadlineExceeded)
 	}
 	idle, busy, fresh := open(http.StateIdle), open(http.StateIdle), open(http.StateNew)
 	i.note(busy, http.StateActive)
