A searcher that had no room is not asked once more

Change: the question, its pause and its setting are gone. A connection that was never made for want of a place counts as no searcher used, as its kind says: the second question had hidden that. The test that expected the question now expects the query to end at once, which is stricter on the number of arrivals.

--- a/internal/gatherer/config.go
+++ b/internal/gatherer/config.go
@@ -21,9 +21,6 @@
 	MaxSearchers int
 	// Once forbids another attempt after one that may have run.
 	Once bool
-	// AskAgain lets a searcher that had no room be asked once more where no
-	// other may be tried.
-	AskAgain bool
 	// Needed is how many shards an answer must have. A query that cannot get them
 	// any more ends at once; zero means that any answer will do.
 	Needed int
--- a/internal/gatherer/events.go
+++ b/internal/gatherer/events.go
@@ -52,10 +52,6 @@
 const (
 	// maxRestarts bounds how often a query moves to a newer snapshot.
 	maxRestarts = 2
-	// againPause is the wait before a searcher that had no room is asked once more;
-	// each further time doubles it, up to maxAgainPause.
-	againPause    = 15 * time.Millisecond
-	maxAgainPause = 120 * time.Millisecond
 	// restartReserve is the time that must be left for a restart.
 	restartReserve = 10 * time.Millisecond
 	// maxAttemptsPerShard bounds the attempts at one shard, the first included.
--- a/internal/gatherer/gatherer.go
+++ b/internal/gatherer/gatherer.go
@@ -25,19 +25,13 @@
 	live []attempt
 	// excluded holds every searcher that was tried.
 	excluded []string
-	// roomless holds those of them that had no room and ran nothing.
-	roomless []string
 	// attempts counts what may have reached a searcher.
 	attempts int
 	// searchers counts the searchers that attempts went to.
 	searchers int
-	// repeats counts how often a searcher was asked once more, and againAt is when
-	// the next time is due; it is zero where none is.
-	repeats  int
-	againAt  time.Time
-	answered bool
-	winner   uint64
-	hits     []byte
+	answered  bool
+	winner    uint64
+	hits      []byte
 	// missing is why the shard has no answer; it is meaningless once answered.
 	missing Reason
 	hedged  bool
@@ -121,7 +115,6 @@
 func (q *Query) send(now time.Time, s *shard, searcher string, extra bool, out *Actions) {
 	id := q.config.NextAttempt()
 	s.attempts++
-	s.againAt = time.Time{}
 	s.live = append(s.live, attempt{id: id, searcher: searcher, sent: now})
 	s.missing = ReasonLate
 	q.byAttempt[id] = s
@@ -138,24 +131,6 @@
 	})
 }
 
-// again asks one of the searchers that had no room once more.
-func (q *Query) again(now time.Time, s *shard, out *Actions) {
-	s.againAt = time.Time{}
-	var candidates []planner.Searcher
-	for _, c := range s.plan.Candidates {
-		if slices.Contains(s.roomless, c.Key()) {
-			candidates = append(candidates, c)
-		}
-	}
-	if !q.config.Spend(s.plan.Name, ExtraOverload) {
-		return
-	}
-	if searcher, ok := q.config.Pick(candidates, nil); ok {
-		s.repeats++
-		q.send(now, s, searcher, true, out)
-	}
-}
-
 // Deliver takes the end of a shard request.
 func (q *Query) Deliver(now time.Time, r Reply) Actions {
 	var out Actions
@@ -164,14 +139,12 @@
 		return out
 	}
 	delete(q.byAttempt, r.Attempt)
-	searcher := s.drop(r.Attempt)
+	s.drop(r.Attempt)
 	switch {
 	case r.Outcome != NotRun:
 		q.mayHaveRun = true
-	case r.Reason == ReasonNotSent || r.Reason == ReasonNoReplica || r.Reason == ReasonGone:
+	case neverArrived(r.Reason):
 		s.searchers--
-	case !slices.Contains(s.roomless, searcher):
-		s.roomless = append(s.roomless, searcher)
 	}
 	if s.answered {
 		return out
@@ -230,9 +203,6 @@
 	}
 	if len(s.live) > 0 {
 		// A hedge failed while the first request is still out.
-		if q.config.MaxSearchers > 0 {
-			q.planAgain(now, s)
-		}
 		return
 	}
 	missing := s.missing
@@ -240,18 +210,14 @@
 		return
 	}
 	s.missing = missing
-	q.planAgain(now, s)
 	if missing == ReasonSnapshotGone {
 		q.restart(now, out)
 	}
 }
 
-// planAgain sets when a searcher that had no room is asked once more.
-func (q *Query) planAgain(now time.Time, s *shard) {
-	if !q.config.AskAgain || len(s.roomless) == 0 {
-		return
-	}
-	s.againAt = now.Add(min(maxAgainPause, againPause<<min(s.repeats, 8)))
+// neverArrived reports whether a reason means that no searcher saw the request.
+func neverArrived(r Reason) bool {
+	return slices.Contains([]Reason{ReasonNotSent, ReasonNoReplica, ReasonGone, ReasonNoConnection}, r)
 }
 
 // extraAfter returns the kind of the attempt that follows a failed one.
@@ -293,11 +259,6 @@
 	if !q.hedgeAt.IsZero() && !now.Before(q.hedgeAt) {
 		q.hedge(now, &out)
 	}
-	for _, s := range q.shards {
-		if !s.answered && !s.againAt.IsZero() && !now.Before(s.againAt) {
-			q.again(now, s, &out)
-		}
-	}
 	return q.settle(now, out)
 }
 
@@ -338,21 +299,10 @@
 	if q.answered >= q.config.Needed {
 		sooner(q.config.ThinAt)
 	}
-	for _, s := range q.shards {
-		if !s.answered {
-			sooner(s.againAt)
-		}
-	}
 	return next
 }
 
-// drop ends a live attempt and returns the searcher that it went to.
-func (s *shard) drop(id uint64) string {
-	for i, a := range s.live {
-		if a.id == id {
-			s.live = append(s.live[:i], s.live[i+1:]...)
-			return a.searcher
-		}
-	}
-	return ""
+// drop ends a live attempt.
+func (s *shard) drop(id uint64) {
+	s.live = slices.DeleteFunc(s.live, func(a attempt) bool { return a.id == id })
 }
--- a/internal/gatherer/settle.go
+++ b/internal/gatherer/settle.go
@@ -50,7 +50,7 @@
 func (q *Query) open() int {
 	n := 0
 	for _, s := range q.shards {
-		if !s.answered && (len(s.live) > 0 || !s.againAt.IsZero()) {
+		if !s.answered && len(s.live) > 0 {
 			n++
 		}
 	}
--- a/internal/responder/policies.go
+++ b/internal/responder/policies.go
@@ -33,8 +33,6 @@
 	PolicyHopeless Policy = "hopeless"
 	// PolicyLoadAware picks the replica with the least expected time, not any.
 	PolicyLoadAware Policy = "loadAware"
-	// PolicyAgain asks a searcher that had no room once more.
-	PolicyAgain Policy = "again"
 	// PolicyReach keeps daemons to a part of the replicas where connections are few.
 	PolicyReach Policy = "reach"
 	// PolicyWarm opens connections ahead of use where there are enough.
@@ -43,7 +41,7 @@
 
 // Policies lists all of them.
 func Policies() []Policy {
-	return []Policy{PolicyHedge, PolicyEarlyHedge, PolicyThin, PolicyHopeless, PolicyLoadAware, PolicyAgain, PolicyReach, PolicyWarm}
+	return []Policy{PolicyHedge, PolicyEarlyHedge, PolicyThin, PolicyHopeless, PolicyLoadAware, PolicyReach, PolicyWarm}
 }
 
 // ParsePolicies reads a list with commas.
--- a/internal/responder/runner.go
+++ b/internal/responder/runner.go
@@ -123,7 +123,6 @@
 		Deadline:     c.deadline,
 		MaxSearchers: c.route.MaxSearchers,
 		Once:         !c.route.Idempotent,
-		AskAgain:     r.has(PolicyAgain),
 		Needed:       1,
 		NextAttempt:  func() uint64 { return r.attempts.Add(1) },
 		Spend:        run.spend,
