--- a/internal/follower/document.go
+++ b/internal/follower/document.go
@@ -67,6 +67,8 @@
 	content, packed []byte
 	// fetching is set while the content is fetched from a peer.
 	fetching bool
+	// missed is the newest head that was heard meanwhile; nil if there is none.
+	missed *heardHead
 	// stale is set when the history after asOf is gone from the store, or a watch
 	// broke off: the store may have dropped changes that it never told of.
 	stale bool
@@ -272,9 +274,19 @@
 	}
 }
 
+// heardHead is what a peer said that it knows.
+type heardHead struct {
+	from string
+	head *messenger.Head
+	// far is set where it came from another failure domain, to be passed on.
+	far bool
+}
+
 // hear takes a peer's head. It reports whether this daemon now knows the same,
-// and whether the peer knows more.
-func (d *document[T]) hear(now time.Time, head *messenger.Head) (same, behind bool) {
+// and whether the peer knows more, to be fetched. What is heard while content is
+// fetched is kept for then.
+func (d *document[T]) hear(now time.Time, heard heardHead) (same, behind bool) {
+	head := heard.head
 	confirmed := now.Add(-time.Duration(head.GetAgeMillis()) * time.Millisecond)
 	d.mu.Lock()
 	if head.GetDigest() == d.digest {
@@ -286,13 +298,41 @@
 		return true, false
 	}
 	defer d.mu.Unlock()
-	if head.GetGeneration() <= d.generation || d.fetching {
+	if head.GetGeneration() <= d.generation {
+		return false, false
+	}
+	if d.fetching {
+		if d.missed != nil {
+			heard.far = heard.far || d.missed.far
+		}
+		if d.missed == nil || head.GetGeneration() >= d.missed.head.GetGeneration() {
+			d.missed = &heard
+		} else {
+			d.missed.far = heard.far
+		}
 		return false, false
 	}
 	d.fetching = true
 	return false, true
 }
 
+// afterFetch returns the head that was missed during a fetch, if its content is
+// still lacking, and whether what is known now is to be passed on because of it.
+func (d *document[T]) afterFetch() (next *heardHead, far bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	missed := d.missed
+	d.missed = nil
+	switch {
+	case missed == nil:
+		return nil, false
+	case missed.head.GetGeneration() > d.generation:
+		return missed, false
+	default:
+		return nil, missed.far
+	}
+}
+
 // fetched takes a peer's reply; nil means that there was none.
 func (d *document[T]) fetched(now time.Time, reply *messenger.FetchReply, age time.Duration) bool {
 	defer func() {
--- a/internal/follower/document_test.go
+++ b/internal/follower/document_test.go
@@ -77,3 +77,46 @@
 	is.Equal(len(forwarder.entries), 1199)
 	is.Equal(reader.packs, 2)
 }
+
+// TestHeadsHeardDuringAFetchAreNotLost names the pattern: changes follow each
+// other closely in a tier of hundreds, so that a daemon which passes them on to
+// its failure domain hears of the next one, or of this one from afar, while it
+// fetches. Lost, the domain waited for the reader's next look, up to a second.
+func TestHeadsHeardDuringAFetchAreNotLost(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	reader, forwarder := listedAndEmpty(t, 10)
+	now := time.Now()
+	near := heardHead{from: "near", head: reader.head(now)}
+	same, behind := forwarder.hear(now, near)
+	is.True(!same && behind)
+
+	// The same from another failure domain, to be passed on, comes meanwhile.
+	far := heardHead{from: "far", head: reader.head(now), far: true}
+	same, behind = forwarder.hear(now, far)
+	is.True(!same && !behind)
+	reply, err := reader.reply()
+	is.NoErr(err)
+	is.True(forwarder.fetched(now, reply, 0))
+	next, passOn := forwarder.afterFetch()
+	is.True(next == nil)
+	is.True(passOn)
+
+	// A newer one comes from afar during a fetch, then an older one from near.
+	reader.take([]platform.Entry[string]{{Name: "a", Value: "1"}}, 8, false)
+	older := reader.head(now)
+	_, behind = forwarder.hear(now, heardHead{from: "near", head: older})
+	is.True(behind)
+	oldReply, err := reader.reply()
+	is.NoErr(err)
+	reader.take([]platform.Entry[string]{{Name: "b", Value: "2"}}, 9, false)
+	forwarder.hear(now, heardHead{from: "far", head: reader.head(now), far: true})
+	forwarder.hear(now, heardHead{from: "near", head: older})
+	is.True(forwarder.fetched(now, oldReply, 0))
+	next, passOn = forwarder.afterFetch()
+	is.True(!passOn) // not before the newer content is known
+	is.Equal(next.from, "far")
+	is.True(next.far)
+	_, behind = forwarder.hear(now, *next)
+	is.True(behind)
+}
--- a/internal/follower/spread.go
+++ b/internal/follower/spread.go
@@ -80,27 +80,32 @@
 	for _, head := range packet.GetHeads() {
 		switch head.GetDocument() {
 		case documentConfiguration:
-			compare(f, f.configurations, now, packet.GetFrom(), head, far)
+			compare(f, f.configurations, now, heardHead{from: packet.GetFrom(), head: head, far: far})
 		case documentServers:
-			compare(f, f.servers, now, packet.GetFrom(), head, far)
+			compare(f, f.servers, now, heardHead{from: packet.GetFrom(), head: head, far: far})
 		}
 	}
 }
 
 // compare takes a peer's head and fetches what this daemon lacks; a head from
 // another failure domain is passed on once its content is known.
-func compare[T any](f *Follower, d *document[T], now time.Time, from string, head *messenger.Head, far bool) {
-	same, behind := d.hear(now, head)
-	if same && far {
+func compare[T any](f *Follower, d *document[T], now time.Time, heard heardHead) {
+	same, behind := d.hear(now, heard)
+	if same && heard.far {
 		f.pass(d.head(now))
 	}
 	if !behind {
 		return
 	}
 	go func() {
-		if f.fetch(context.Background(), from, d.name, d.fetched) && far {
+		known := f.fetch(context.Background(), heard.from, d.name, d.fetched)
+		next, far := d.afterFetch()
+		if known && (heard.far || far) {
 			f.pass(d.head(time.Now()))
 		}
+		if next != nil {
+			compare(f, d, time.Now(), *next)
+		}
 	}()
 }
 
