A daemon is ready only once it has routes for what its documents name

The documents counted as applied when the view was made of them, but routes are compiled after that, so that a daemon said that it is ready and had a plan, but no gateway for any searcher.

Change: they count once the routes follow. The test in relayer failed before.

--- a/internal/relayer/relay.go
+++ b/internal/relayer/relay.go
@@ -183,12 +183,19 @@
 	r.decode(declarer.DocumentVMs, &list)
 	r.decode(declarer.DocumentDeclarations, &declarations)
 	r.decode(declarer.DocumentIndexes, &indexes)
+	generations := map[string]uint64{}
 	for _, name := range documents {
-		r.applied[name] = r.register.InForce(name).Generation
+		generations[name] = r.register.InForce(name).Generation
 	}
 	r.view.Store(planner.New().WithDeclarations(declarations).WithIndexes(indexes).WithVMs(list.VMs))
 	r.mu.Unlock()
 	r.config.Changed(changed, entryMembers(list.VMs))
+	// Only now are there routes for what the view names, so that callers may come.
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for name, generation := range generations {
+		r.applied[name] = max(r.applied[name], generation)
+	}
 }
 
 func (r *Relayer) decode(name string, into any) {
