A daemon is ready only with the view and the routes that it counts as applied

Cause: the relayer decoded the documents and then read their generations. A VM list that came in between counted as applied while the view had no VM, or while another goroutine had stored that view but not yet compiled its routes, so the daemon reported itself ready and refused its first callers.

Change: each document is read once, for its content and its generation. Found beside it: Refresh of the router took inputs that were read before its lock, so an overtaken call put back routes of an older view until the next change. It now reads them under the lock.

--- a/internal/daemon/gateways.go
+++ b/internal/daemon/gateways.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/fuchsiastile/fuchsiastile/internal/messenger"
+	"github.com/fuchsiastile/fuchsiastile/internal/planner"
 	"github.com/fuchsiastile/fuchsiastile/internal/prober"
 )
 
@@ -22,8 +23,13 @@
 // refreshRoutes recompiles the routes if the members or the view have changed, and
 // discards state of searchers and peers that are no longer used.
 func (d *Daemon) refreshRoutes() {
-	live, now := d.liveDaemons(), time.Now()
-	if !d.router.Refresh(now, live, d.documents.View()) {
+	now := time.Now()
+	var live []*messenger.Member
+	read := func() ([]*messenger.Member, *planner.View) {
+		live = d.liveDaemons()
+		return live, d.documents.View()
+	}
+	if !d.router.Refresh(now, read) {
 		return
 	}
 	d.sender.Forget()
--- a/internal/relayer/relay.go
+++ b/internal/relayer/relay.go
@@ -184,16 +184,18 @@
 // been validated, and reports the changed one through Config.OnChanged.
 func (r *Relayer) rebuildView(changed string) {
 	r.mu.Lock()
+	// Each document is read once, so that its generation is that of the content in
+	// the view: an offer may replace it at any moment.
+	documents := map[string]configurator.Document{}
+	for _, name := range documentNames {
+		documents[name] = r.registry.InForce(name)
+	}
 	var list declarer.VMList
 	var declarations declarer.Declarations
 	var indexes declarer.Indexes
-	r.decode(declarer.DocumentVMs, &list)
-	r.decode(declarer.DocumentDeclarations, &declarations)
-	r.decode(declarer.DocumentIndexes, &indexes)
-	generations := map[string]uint64{}
-	for _, name := range documentNames {
-		generations[name] = r.registry.InForce(name).Generation
-	}
+	r.decode(documents[declarer.DocumentVMs], &list)
+	r.decode(documents[declarer.DocumentDeclarations], &declarations)
+	r.decode(documents[declarer.DocumentIndexes], &indexes)
 	r.view.Store(planner.New().WithDeclarations(declarations).WithIndexes(indexes).WithVMs(list.VMs))
 	r.mu.Unlock()
 	r.config.OnChanged(changed, entryMembers(list.VMs))
@@ -202,20 +204,19 @@
 	// ready would refuse its first callers.
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for name, generation := range generations {
-		r.appliedGenerations[name] = max(r.appliedGenerations[name], generation)
+	for name, document := range documents {
+		r.appliedGenerations[name] = max(r.appliedGenerations[name], document.Generation)
 	}
 }
 
-// decode decodes the current document with the given name; it leaves into
-// unchanged if there is none.
-func (r *Relayer) decode(name string, into any) {
-	content := r.registry.InForce(name).Content
-	if len(content) == 0 {
+// decode decodes a current document; it leaves into unchanged if the document has
+// not been received yet.
+func (r *Relayer) decode(document configurator.Document, into any) {
+	if len(document.Content) == 0 {
 		return
 	}
-	if err := declarer.Decode(name, content, into); err != nil {
-		klog.ErrorS(err, "failed to decode current document", "document", name)
+	if err := r.decodeDocument(document.Name, document.Content, into); err != nil {
+		klog.ErrorS(err, "failed to decode current document", "document", document.Name)
 	}
 }
 
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -62,6 +62,8 @@
 	config   Config
 	started  time.Time
 	registry *configurator.Registry
+	// decodeDocument decodes the content of a document with the given name.
+	decodeDocument func(name string, content []byte, into any) error
 	// view is the immutable input of query planning. It is replaced, never modified.
 	view atomic.Pointer[planner.View]
 
@@ -84,6 +86,7 @@
 		config:             config,
 		started:            time.Now(),
 		registry:           configurator.New(validateDocument),
+		decodeDocument:     declarer.Decode,
 		comparedPeers:      map[string]bool{},
 		highestGenerations: map[string]uint64{},
 		appliedGenerations: map[string]uint64{},
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -55,10 +55,13 @@
 func (r *Router) Invalidate() { r.stale.Store(true) }
 
 // Refresh recompiles the routes if the live daemons have changed or Invalidate was
-// called, and reports whether it did.
-func (r *Router) Refresh(now time.Time, live []*messenger.Member, view *planner.View) bool {
+// called, and reports whether it did. It calls read for the live daemons and the
+// view, one call at a time: with inputs read earlier, a call that was overtaken by
+// another would replace the newer routes by older ones.
+func (r *Router) Refresh(now time.Time, read func() ([]*messenger.Member, *planner.View)) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	live, view := read()
 	input := membershipKey(live)
 	changed := input != r.input
 	r.input = input
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -1,12 +1,16 @@
 package router
 
 import (
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/fuchsiastile/fuchsiastile/internal/loader"
 	"github.com/fuchsiastile/fuchsiastile/internal/messenger"
+	"github.com/fuchsiastile/fuchsiastile/internal/planner"
+	"github.com/fuchsiastile/fuchsiastile/pkg/declarer"
 )
 
 // TestMembershipKeyIncludesFailureDomain guards against routes that are not
@@ -48,3 +52,52 @@
 	none := &table{routes: map[string]route{"searcher": {gateways: []string{"b"}}}}
 	is.Equal(none.carryOver(other, at(5*gatewayChangeDelay)).routes["searcher"].allowedConnections(at(5*gatewayChangeDelay)), 0)
 }
+
+// overtakeWait is how long TestOvertakenRefreshKeepsNewerRoutes lets a second call
+// of Refresh overtake the first one, which it must not do.
+const overtakeWait = 100 * time.Millisecond
+
+// TestOvertakenRefreshKeepsNewerRoutes calls Refresh while another call has read an
+// older view and not yet compiled it. The routes of the newer view must remain: a
+// daemon that kept those of an older view, which had no searcher, refused its callers.
+func TestOvertakenRefreshKeepsNewerRoutes(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	const searcher = "192.0.2.9:9100"
+	newer := planner.New().
+		WithDeclarations(declarer.Declarations{Services: []declarer.Service{{Name: "parts", Selector: "app=parts", ConnectionLimit: 4}}}).
+		WithIndexes(declarer.Indexes{Services: map[string]declarer.Snapshot{"parts": {Name: "v1", Shards: []declarer.ShardPlacement{{Name: "s0", Selector: "app=parts"}}}}}).
+		WithVMs([]declarer.VM{{Name: "vm", Address: searcher, FailureDomain: "a", State: declarer.VMLive, Labels: map[string]string{"app": "parts"}}})
+	live := []*messenger.Member{{Address: "192.0.2.1:7001", FailureDomain: "a"}}
+	r := New(Config{Self: "192.0.2.1:7001", Route: loader.RouteDirect})
+	var view atomic.Pointer[planner.View]
+	view.Store(planner.New())
+	now := time.Now()
+
+	hasRead, resume, overtaken := make(chan struct{}), make(chan struct{}), make(chan struct{})
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		r.Refresh(now, func() ([]*messenger.Member, *planner.View) {
+			read := view.Load()
+			close(hasRead)
+			<-resume
+			return live, read
+		})
+	}()
+	<-hasRead
+	view.Store(newer)
+	go func() {
+		defer close(overtaken)
+		r.Invalidate()
+		r.Refresh(now, func() ([]*messenger.Member, *planner.View) { return live, view.Load() })
+	}()
+	select {
+	case <-overtaken:
+	case <-time.After(overtakeWait):
+	}
+	close(resume)
+	<-done
+	<-overtaken
+	is.True(r.Searchers()[searcher])
+}
