Budgeter keeps its counts when the window changes

Cause: slots are numbered by their length since the start. After a change of the window the old numbers meant other times: with a longer window the latest slot lay in the future and its counts never expired; with a shorter one they were cleared at once, and the budget could be spent twice. The counts are now moved to slots of the new length, requests early and extra requests late. The test failed in both directions first.

--- a/internal/budgeter/budgeter.go
+++ b/internal/budgeter/budgeter.go
@@ -44,6 +44,9 @@
 	return c
 }
 
+// slotLength returns the length of a counter slot.
+func (c Config) slotLength() time.Duration { return c.Window / slotsPerWindow }
+
 // defaultWindow is the window of a configuration that sets none.
 const defaultWindow = 10 * time.Second
 
@@ -61,6 +64,23 @@
 	latestSlot int64
 }
 
+// resliced returns the counts in slots of another length. Where a slot spans several
+// new ones, its caller requests count for the first and its extra requests for the
+// last of them, so that the budget is never exceeded.
+func (w *requestWindow) resliced(before, after time.Duration) *requestWindow {
+	out := &requestWindow{latestSlot: int64((time.Duration(w.latestSlot+1)*before - 1) / after)}
+	for n := range int64(ringSlots) {
+		counts, slot := w.slotBefore(n), w.latestSlot-n
+		if first := int64(time.Duration(slot) * before / after); slot >= 0 && out.latestSlot-first < ringSlots {
+			out.ring[first%ringSlots].requests += counts.requests
+		}
+		if last := int64((time.Duration(slot+1)*before - 1) / after); slot >= 0 && out.latestSlot-last < ringSlots {
+			out.ring[last%ringSlots].extraRequests += counts.extraRequests
+		}
+	}
+	return out
+}
+
 // Budgeter enforces one daemon's part of the budget. It is safe for concurrent use.
 type Budgeter struct {
 	mu     sync.Mutex
@@ -85,7 +105,13 @@
 func (b *Budgeter) Configure(config Config, daemons int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.config = config.WithDefaults()
+	config = config.WithDefaults()
+	if before, after := b.config.slotLength(), config.slotLength(); before != after {
+		for service, w := range b.services {
+			b.services[service] = w.resliced(before, after)
+		}
+	}
+	b.config = config
 	b.daemons = float64(max(1, daemons))
 }
 
@@ -144,7 +170,7 @@
 
 // currentSlot returns the counts of the current slot after clearing expired slots.
 func (b *Budgeter) currentSlot(now time.Time, service string) *slotCounts {
-	slot := max(0, int64(now.Sub(b.startedAt)/(b.config.Window/slotsPerWindow)))
+	slot := max(0, int64(now.Sub(b.startedAt)/b.config.slotLength()))
 	w, ok := b.services[service]
 	if !ok {
 		w = &requestWindow{latestSlot: slot}
--- a/internal/budgeter/budgeter_test.go
+++ b/internal/budgeter/budgeter_test.go
@@ -51,6 +51,35 @@
 	}
 }
 
+// TestBudgetHoldsAcrossWindowChange changes the window of a spent budget. Extra
+// requests that lie within the new window still count, and the budget is available
+// again once they are older than that.
+func TestBudgetHoldsAcrossWindowChange(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct{ before, after time.Duration }{{10 * time.Second, 30 * time.Second}, {10 * time.Second, 5 * time.Second}} {
+		t.Run(fmt.Sprint(c.before, " to ", c.after), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			settings := budgeter.Config{Ratio: 0.2, Slack: 100, Window: c.before}
+			b := budgeter.New(settings, start, true)
+			now := start.Add(time.Minute)
+			spent := 0
+			for b.Spend(now, "s") {
+				spent++
+			}
+			is.True(spent > 0)
+			settings.Window = c.after
+			b.Configure(settings, 1)
+			is.True(!b.Spend(now.Add(c.after-c.after/20), "s")) // all of it is within the new window
+			again := 0
+			for b.Spend(now.Add(c.after+c.before/10+c.after/10), "s") {
+				again++
+			}
+			is.Equal(again, spent)
+		})
+	}
+}
+
 func countWithin(times []time.Time, from time.Time, window time.Duration) int {
 	n := 0
 	for _, t := range times {
