Emulator and interposer: three faults of the stand-ins

A delayed connection dropped an error that came with data, and its reader waited for ever. A proxy connection that was accepted just before a reset stayed open. A VM list that waited for a long lag replaced a newer one after the lag was lowered. Each test failed first.

--- a/internal/emulator/latency.go
+++ b/internal/emulator/latency.go
@@ -48,10 +48,12 @@
 	oneWay time.Duration
 	writes chan chunk
 	reads  chan chunk
-	// unread is the remainder of the chunk that Read returned last.
-	unread []byte
-	close  sync.Once
-	done   chan struct{}
+	// unread is the remainder of the chunk that Read returned last, and readErr the
+	// error that came with that chunk, to be returned after it.
+	unread  []byte
+	readErr error
+	close   sync.Once
+	done    chan struct{}
 }
 
 func newDelayedConn(conn net.Conn, oneWay time.Duration) *delayedConn {
@@ -107,13 +109,16 @@
 
 func (c *delayedConn) Read(b []byte) (int, error) {
 	if len(c.unread) == 0 {
+		if c.readErr != nil {
+			return 0, c.readErr
+		}
 		select {
 		case r := <-c.reads:
 			time.Sleep(time.Until(r.deliverAt))
+			c.unread, c.readErr = r.data, r.err
 			if len(r.data) == 0 {
 				return 0, r.err
 			}
-			c.unread = r.data
 		case <-c.done:
 			return 0, net.ErrClosed
 		}
--- a/internal/emulator/platform.go
+++ b/internal/emulator/platform.go
@@ -39,9 +39,12 @@
 	objects   map[string]declarer.Object
 	vms       map[string]declarer.VM
 	published declarer.VMList
-	changed   chan struct{}
-	faults    PlatformFaults
-	calls     map[string]int
+	// captures counts the lists captured for publication; publishedCapture is the
+	// number of the published one.
+	captures, publishedCapture int
+	changed                    chan struct{}
+	faults                     PlatformFaults
+	calls                      map[string]int
 }
 
 // NewPlatform returns a platform without objects and VMs.
@@ -109,10 +112,17 @@
 	for _, name := range slices.Sorted(maps.Keys(p.vms)) {
 		list = append(list, p.vms[name])
 	}
+	p.captures++
+	capture := p.captures
 	p.mu.Unlock()
 	publish := func() {
 		p.mu.Lock()
 		defer p.mu.Unlock()
+		if capture < p.publishedCapture {
+			// The lag was lowered after this list was captured.
+			return
+		}
+		p.publishedCapture = capture
 		p.published = declarer.VMList{Version: p.published.Version + 1, VMs: list}
 		p.notify()
 	}
--- a/internal/interposer/interposer.go
+++ b/internal/interposer/interposer.go
@@ -23,6 +23,8 @@
 type Proxy struct {
 	target   string
 	listener net.Listener
+	// dial connects to the target.
+	dial func(network, address string) (net.Conn, error)
 
 	mu     sync.Mutex
 	faults Faults
@@ -33,12 +35,14 @@
 const bufferSize = 16 << 10
 
 // New starts a proxy that forwards connections to target.
-func New(target string) (*Proxy, error) {
+func New(target string) (*Proxy, error) { return newProxy(target, net.Dial) }
+
+func newProxy(target string, dial func(network, address string) (net.Conn, error)) (*Proxy, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{target: target, listener: l, conns: map[net.Conn]bool{}}
+	p := &Proxy{target: target, listener: l, dial: dial, conns: map[net.Conn]bool{}}
 	go p.acceptLoop()
 	return p, nil
 }
@@ -101,14 +105,16 @@
 }
 
 func (p *Proxy) handleConn(client net.Conn) {
-	upstream, err := net.Dial("tcp", p.target)
+	upstream, err := p.dial("tcp", p.target)
 	if err != nil {
 		resetConn(client)
 		return
 	}
-	p.mu.Lock()
-	p.conns[client], p.conns[upstream] = true, true
-	p.mu.Unlock()
+	if !p.track(client, upstream) {
+		resetConn(client)
+		resetConn(upstream)
+		return
+	}
 	var wait sync.WaitGroup
 	wait.Add(2)
 	go func() {
@@ -126,6 +132,18 @@
 	p.mu.Unlock()
 }
 
+// track adds the two connections of a pair to those that a reset ends. It reports
+// false if a reset came while they were being opened.
+func (p *Proxy) track(client, upstream net.Conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.faults.Reset {
+		return false
+	}
+	p.conns[client], p.conns[upstream] = true, true
+	return true
+}
+
 // copy forwards data from one connection to the other until either fails, then closes
 // both.
 func (p *Proxy) copy(to, from net.Conn, drops func(Faults) bool) {
