Changes that overtake each other no longer leave older routes or servers in use

Cause, in two places: inputs were read before the lock under which the result is published. - Router: the mark for a recompilation was taken after the view was read. A mark set in between was taken with the older view, and the call that had set it found nothing to do: the routes of the older view stayed until the next change. A daemon without routes probes no searcher, which is what TestDrainIsDetectedWithoutTraffic waits for; each rebuild at start may meet it. - Follower: a rebuild of the fleet that was overtaken published the older list, so a server that had left was in use again until the next change.

--- a/internal/follower/state.go
+++ b/internal/follower/state.go
@@ -63,13 +63,16 @@
 	}
 }
 
+// rebuildFleet publishes the fleet of the current list of servers.
 func (f *Follower) rebuildFleet(now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	// The list is read under mu: with one read earlier, a rebuild that was overtaken by
+	// another would publish an older fleet.
 	f.servers.mu.Lock()
 	entries := f.servers.entries
 	generation := f.servers.generation
 	f.servers.mu.Unlock()
-	f.mu.Lock()
-	defer f.mu.Unlock()
 	retained := f.expired.Retained(now)
 	list := make([]planner.Server, 0, len(entries)+len(retained))
 	draining := 0
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -61,13 +61,15 @@
 func (r *Router) Refresh(now time.Time, read func() ([]*messenger.Member, *planner.View)) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	// The mark is taken before the view is read: one that is set in between is for a
+	// view that may be newer than the one read.
+	stale := r.stale.Swap(false)
 	live, view := read()
 	input := membershipKey(live)
-	changed := input != r.input
-	r.input = input
-	if !changed && !r.stale.Swap(false) {
+	if input == r.input && !stale {
 		return false
 	}
+	r.input = input
 	r.routes.Store(r.compile(live, view).carryOver(r.routes.Load(), now))
 	return true
 }
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"fmt"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -59,9 +60,21 @@
 
 // TestOvertakenRefreshKeepsNewerRoutes calls Refresh while another call has read an
 // older view and not yet compiled it. The routes of the newer view must remain: a
-// daemon that kept those of an older view, which had no searcher, refused its callers.
+// daemon that kept those of an older view, which had no searcher, refused its callers
+// and probed no searcher.
 func TestOvertakenRefreshKeepsNewerRoutes(t *testing.T) {
 	t.Parallel()
+	for _, membersChanged := range []bool{true, false} {
+		t.Run(fmt.Sprint("members changed ", membersChanged), func(t *testing.T) {
+			t.Parallel()
+			testOvertakenRefresh(t, membersChanged)
+		})
+	}
+}
+
+// testOvertakenRefresh makes the overtaken call compile because the members have
+// changed or, otherwise, because Invalidate was called.
+func testOvertakenRefresh(t *testing.T, membersChanged bool) {
 	is := is.New(t)
 	const searcher = "192.0.2.9:9100"
 	newer := planner.New().
@@ -73,6 +86,10 @@
 	var view atomic.Pointer[planner.View]
 	view.Store(planner.New())
 	now := time.Now()
+	if !membersChanged {
+		r.Refresh(now, func() ([]*messenger.Member, *planner.View) { return live, view.Load() })
+		r.Invalidate()
+	}
 
 	hasRead, resume, overtaken := make(chan struct{}), make(chan struct{}), make(chan struct{})
 	done := make(chan struct{})
@@ -87,9 +104,9 @@
 	}()
 	<-hasRead
 	view.Store(newer)
+	r.Invalidate()
 	go func() {
 		defer close(overtaken)
-		r.Invalidate()
 		r.Refresh(now, func() ([]*messenger.Member, *planner.View) { return live, view.Load() })
 	}()
 	select {
