Exchanger bounds a reply's head and never drains a body that it gave up

A body over the limit was closed, and Close reads the rest of it, until the deadline. Change: 64 KiB for a head, 8 MiB for a body as sent; a reply that is over the limit ends the exchange and its connection.

--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -44,6 +44,12 @@
 const (
 	// maxReplyBytes is the maximum size of a reply body.
 	maxReplyBytes = 4 << 20
+	// maxHeadBytes is the maximum size of a reply's status line and headers.
+	// http.ReadResponse has no limit of its own.
+	maxHeadBytes = 64 << 10
+	// maxBodyWireBytes is the maximum size of a reply body as sent, with its chunk
+	// headers and trailer.
+	maxBodyWireBytes = 2 * maxReplyBytes
 	// dialTimeout limits the time to open a connection. It is twice the round trip
 	// between regions and the servers' handshake, and well below the second after
 	// which TCP retransmits a lost SYN.
@@ -118,6 +124,9 @@
 // conn is a connection, which carries one request at a time.
 type conn struct {
 	net.Conn
+	// limit bounds what reader may still read from the connection. It is set before
+	// each part of a reply.
+	limit  *io.LimitedReader
 	reader *bufio.Reader
 	// idleDeadline is the time at which the server may close the idle connection.
 	idleDeadline time.Time
@@ -261,7 +270,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: netConn, reader: bufio.NewReaderSize(netConn, readBufferSize)}, nil
+	limit := &io.LimitedReader{R: netConn}
+	return &conn{Conn: netConn, limit: limit, reader: bufio.NewReaderSize(limit, readBufferSize)}, nil
 }
 
 func (e *Exchanger) discard(key string, c *conn) {
@@ -373,21 +383,25 @@
 // other requests. It reports whether the connection can be reused.
 func (c *conn) readReply(request Request) (Reply, bool, error) {
 	for range maxStrayReplies + 1 {
+		c.limit.N = maxHeadBytes
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: request.Method})
 		if err != nil {
 			return Reply{}, false, err
 		}
+		c.limit.N = maxBodyWireBytes
+		// A body that is not read to its end is not closed, since Close would read the
+		// rest of it; the connection is closed instead.
 		body, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes+1))
-		_ = response.Body.Close()
-		if response.StatusCode < http.StatusOK {
-			continue
-		}
 		if err != nil {
 			return Reply{}, false, err
 		}
 		if len(body) > maxReplyBytes {
 			return Reply{}, false, errors.New("reply body exceeds the maximum size")
 		}
+		_ = response.Body.Close()
+		if response.StatusCode < http.StatusOK {
+			continue
+		}
 		if !request.Matches(response.Header) {
 			continue
 		}
--- a/internal/exchanger/exchanger_test.go
+++ b/internal/exchanger/exchanger_test.go
@@ -270,3 +270,65 @@
 	is.True(!got.NewConnection)
 	is.Equal(f.dials.Load(), int64(1))
 }
+
+// endlessReplies are the beginnings of replies that are no answer, and the bytes that
+// are then repeated until the caller closes.
+var endlessReplies = map[string][2]string{
+	"header lines":     {"HTTP/1.1 200 OK\r\n", "X-Filler: 0123456789abcdef0123456789abcdef\r\n"},
+	"status line":      {"HTTP/1.1 200 ", "0123456789abcdef"},
+	"interim replies":  {"", "HTTP/1.1 102 Processing\r\n\r\n"},
+	"chunks":           {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "10\r\n0123456789abcdef\r\n"},
+	"chunk extension":  {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n10;x=", "0123456789abcdef"},
+	"trailer":          {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X-Filler: 0123456789abcdef0123456789abcdef\r\n"},
+	"body until close": {"HTTP/1.1 200 OK\r\n\r\n", "0123456789abcdef"},
+	"long body":        {"HTTP/1.1 200 OK\r\nContent-Length: 100000000000\r\n\r\n", "0123456789abcdef"},
+	"stray replies":    {"", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Stray: 1\r\n\r\n"},
+}
+
+const (
+	// endlessBytes is how much a server sends in place of an endless reply, so that a
+	// client without bounds fails the test and does not take the machine's memory.
+	endlessBytes = 256 << 20
+	// acceptedBytes is how much of it may reach a client and the socket buffers on the
+	// way.
+	acceptedBytes = 32 << 20
+)
+
+// TestEndlessReplyIsEnded covers servers that send bytes which are no answer without
+// end, at full speed: the exchange must end long before its deadline and close the
+// connection, so that neither memory nor CPU time goes to such bytes.
+func TestEndlessReplyIsEnded(t *testing.T) {
+	t.Parallel()
+	for name, reply := range endlessReplies {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			sent := make(chan int, 1)
+			server := newScriptedServer(t, func(conn net.Conn, _ int64) {
+				block := []byte(strings.Repeat(reply[1], 1+(16<<10)/len(reply[1])))
+				total, err := conn.Write([]byte(reply[0]))
+				for err == nil && total < endlessBytes {
+					var n int
+					n, err = conn.Write(block)
+					total += n
+				}
+				sent <- total
+			})
+			e := exchanger.New(dialer.System(), func() {})
+			ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+			defer cancel()
+			request := newRequest()
+			request.Matches = func(h http.Header) bool { return h.Get("X-Stray") == "" }
+			_, err := e.Do(ctx, exchanger.Target{Key: "a", Address: server.address, Limit: 1}, request)
+			is.True(failer.Is(err, exchanger.KindReplyLost))
+			is.NoErr(ctx.Err())
+			is.Equal(e.ConnectionCount(), 0)
+			select {
+			case total := <-sent:
+				is.True(total < acceptedBytes)
+			case <-time.After(10 * time.Second):
+				t.Error("the connection is still open")
+			}
+		})
+	}
+}
