Daemons of a failure domain share what they observe of searchers

Cause: with 295 daemons each meets a searcher about every three seconds and keeps connections to one of three replicas. It neither learns that this one refuses or is slow, nor that the others do not: a replica that was never used was taken to be as slow as the only one that was.

Change: where the connection limits leave a daemon only some of the replicas, it reports its observations every 0.5 s to two collectors of its failure domain. They send the searchers that refuse or are slow, and those that have recovered, to all of the domain, with the typical service time. The picker takes them like its own samples, with longer half-lives that differ from daemon to daemon. A refusal costs 150 ms in place of 60, a spare replica 40 in place of 100, or a daemon would stay with a replica that it knows.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -27,6 +27,7 @@
 	"github.com/fuchsiastile/fuchsiastile/internal/planner"
 	"github.com/fuchsiastile/fuchsiastile/internal/prober"
 	"github.com/fuchsiastile/fuchsiastile/internal/refresher"
+	"github.com/fuchsiastile/fuchsiastile/internal/reporter"
 	"github.com/fuchsiastile/fuchsiastile/internal/scheduler"
 	"github.com/fuchsiastile/fuchsiastile/platform"
 )
@@ -53,6 +54,9 @@
 	// forwardersPerDomain is how many daemons of a failure domain receive heads from
 	// the store's reader in another domain and forward them within their own.
 	forwardersPerDomain = 2
+	// collectorsPerDomain is how many daemons of a failure domain pool its
+	// observations; with two, the loss of one loses none.
+	collectorsPerDomain = 2
 	// One in crossRegionEvery probe rounds covers all regions; the others cover this
 	// daemon's region only.
 	crossRegionEvery = 3
@@ -102,6 +106,10 @@
 	// OnDisplaced is called with the key of a searcher whose address now belongs to
 	// another process, as reported by a peer.
 	OnDisplaced func(now time.Time, key string)
+	// OnReport is called with what a peer observed of searchers, on a collector, and
+	// OnSummary with what a collector pooled.
+	OnReport  func(sender string, report []reporter.Observation)
+	OnSummary func(now time.Time, summary reporter.Summary)
 	// OnPacket is called for each datagram between daemons with its size.
 	OnPacket func(direction string, bytes int)
 	Rand     *rand.Rand
--- a/internal/picker/estimate.go
+++ b/internal/picker/estimate.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/fuchsiastile/fuchsiastile/internal/planner"
+	"github.com/fuchsiastile/fuchsiastile/internal/reporter"
 )
 
 const (
@@ -32,12 +33,19 @@
 	// refusalRateHalfLife is the time without new samples in which the refusal rate
 	// decays by half.
 	refusalRateHalfLife = 2 * time.Second
+	// maxHalfLifeFactor bounds the random factor by which the half-lives are longer for
+	// a server that other daemons observed, too. The daemons then try it again one after
+	// the other, and the first of them report whether it has recovered.
+	maxHalfLifeFactor = 4
+	// typicalTTL is how long the typical service time that came with an observation of
+	// other daemons is used.
+	typicalTTL = 15 * time.Second
 	// retryCost is the cost of a refused request: it needs a retry, which comes from
 	// a scarce budget and mostly goes to another region.
-	retryCost = 60 * time.Millisecond
+	retryCost = 150 * time.Millisecond
 	// sparePenalty keeps requests away from searchers whose connections are meant
 	// for other daemons, unless all other searchers are paused, ejected or refusing.
-	sparePenalty = 100 * time.Millisecond
+	sparePenalty = 40 * time.Millisecond
 	// unavailableAfter is how long a server must have left a request unanswered to
 	// be considered unavailable; queries do not wait for a shard whose replicas all
 	// are. It is longer than the pauses of searchers.
@@ -83,6 +91,54 @@
 	s.serviceTime += time.Duration(directServiceTimeSmoothing * float64(latency-s.serviceTime))
 }
 
+// RecordShared records what other daemons observed of a server that deviates, each
+// request like one of this daemon's own, and the typical service time of all servers.
+func (p *Picker) RecordShared(now time.Time, key string, o reporter.Observation, typical time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.state(key)
+	if n := o.Answered + o.Refused; n > 0 {
+		weight := sharedWeight(refusalRateSmoothing, n)
+		s.refusalRate += weight * (float64(o.Refused)/float64(n) - s.refusalRate)
+		s.refusalRateAt = now
+	}
+	if o.Answered > 0 && s.serviceTime > 0 {
+		s.serviceTime += time.Duration(sharedWeight(directServiceTimeSmoothing, o.Answered) * float64(o.ServiceTime-s.serviceTime))
+	} else if o.Answered > 0 {
+		s.serviceTime = o.ServiceTime
+	}
+	if o.Answered > 0 {
+		s.serviceTimeAt = now
+	}
+	s.typicalServiceTime, s.typicalAt = typical, now
+	s.halfLifeFactor = 1 + (maxHalfLifeFactor-1)*p.config.Rand.Float64()
+}
+
+// halfLife returns a half-life for a server's measurements, which is longer if other
+// daemons observed it, too.
+func (s *serverState) halfLife(usual time.Duration) time.Duration {
+	return time.Duration(max(1, s.halfLifeFactor) * float64(usual))
+}
+
+// sharedWeight returns the weight of the mean of n samples in a moving average with
+// the given smoothing.
+func sharedWeight(smoothing float64, n int) float64 {
+	return 1 - math.Pow(1-smoothing, float64(n))
+}
+
+// ServiceTimeSample returns the service time of a measured latency, to be shared with
+// other daemons. Like a sample of this daemon's own average it is capped, so that a
+// pause of the server is not mistaken for slowness.
+func (p *Picker) ServiceTimeSample(c planner.Searcher, latency time.Duration) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	sample := max(0, latency-p.includedRTT(c))
+	if usual := p.state(c.Key()).serviceTime; usual > 0 {
+		return min(sample, outlierFactor*usual)
+	}
+	return sample
+}
+
 // recordAbandoned records that a request was abandoned. A server that has been
 // unresponsive for some time is as likely as not to stay so for the same time again.
 func (s *serverState) recordAbandoned(now time.Time) {
@@ -104,7 +160,7 @@
 
 // lowestCost returns the usable server with the lowest expected time. first wins ties.
 func (p *Picker) lowestCost(now time.Time, usable []planner.Searcher, first planner.Searcher) planner.Searcher {
-	minServiceTime := p.minServiceTime(usable)
+	minServiceTime := p.minServiceTime(now, usable)
 	best, bestCost := first, p.cost(now, first, minServiceTime)
 	for _, c := range usable {
 		if cost := p.cost(now, c, minServiceTime); cost < bestCost {
@@ -114,13 +170,22 @@
 	return best
 }
 
-// minServiceTime returns the lowest measured service time of the servers, or
-// defaultServiceTime if none has been measured.
-func (p *Picker) minServiceTime(servers []planner.Searcher) time.Duration {
+// minServiceTime returns the lowest service time of the servers, measured or typical,
+// or defaultServiceTime if none is known.
+func (p *Picker) minServiceTime(now time.Time, servers []planner.Searcher) time.Duration {
 	least := time.Duration(0)
+	lower := func(d time.Duration) {
+		if d > 0 && (least == 0 || d < least) {
+			least = d
+		}
+	}
 	for _, c := range servers {
-		if s := p.state(c.Key()); s.serviceTime > 0 && (least == 0 || s.serviceTime < least) {
-			least = s.serviceTime
+		s := p.state(c.Key())
+		lower(s.serviceTime)
+		// Otherwise a replica that was never used would be taken to be as slow as the
+		// only one that was.
+		if now.Sub(s.typicalAt) < typicalTTL {
+			lower(s.typicalServiceTime)
 		}
 	}
 	if least == 0 {
@@ -147,7 +212,7 @@
 		cost += max(0, now.Sub(s.unansweredSince)-s.includedRTT-pauseFactor*service)
 	}
 	cost += max(0, s.avoidUntil.Sub(now))
-	refusalRate := min(maxRefusalRate, s.refusalRate*decay(now.Sub(s.refusalRateAt), refusalRateHalfLife))
+	refusalRate := min(maxRefusalRate, s.refusalRate*decay(now.Sub(s.refusalRateAt), s.halfLife(refusalRateHalfLife)))
 	return cost + time.Duration(float64(retryCost)*refusalRate/(1-refusalRate))
 }
 
@@ -167,7 +232,7 @@
 	case s.serviceTime == 0:
 		return defaultServiceTime
 	case p.config.Direct:
-		return minServiceTime + time.Duration(float64(s.serviceTime-minServiceTime)*decay(now.Sub(s.serviceTimeAt), serviceTimeHalfLife))
+		return minServiceTime + time.Duration(float64(s.serviceTime-minServiceTime)*decay(now.Sub(s.serviceTimeAt), s.halfLife(serviceTimeHalfLife)))
 	default:
 		return s.serviceTime
 	}
--- a/internal/responder/connections.go
+++ b/internal/responder/connections.go
@@ -11,6 +11,7 @@
 	"github.com/fuchsiastile/fuchsiastile/internal/exchanger"
 	"github.com/fuchsiastile/fuchsiastile/internal/follower"
 	"github.com/fuchsiastile/fuchsiastile/internal/planner"
+	"github.com/fuchsiastile/fuchsiastile/internal/reporter"
 )
 
 const (
@@ -43,6 +44,9 @@
 	fleet     *planner.Fleet
 	daemons   int
 	searchers map[string][]planner.Searcher
+	// keys maps the hashes of the keys of searchers whose service has spare ones to
+	// the keys. The daemons share their observations of these searchers.
+	keys map[uint64]string
 }
 
 // subsetFor returns the searchers and selects those that this daemon connects to:
@@ -52,7 +56,7 @@
 	if cached := r.cachedSubset.Load(); cached != nil && cached.fleet == state.Fleet && cached.daemons == state.Daemons {
 		return cached
 	}
-	subset := &searcherSubset{fleet: state.Fleet, daemons: state.Daemons, searchers: map[string][]planner.Searcher{}}
+	subset := &searcherSubset{fleet: state.Fleet, daemons: state.Daemons, searchers: map[string][]planner.Searcher{}, keys: map[uint64]string{}}
 	for _, service := range state.Fleet.Services() {
 		list := state.Fleet.Searchers(service)
 		size := assigner.ReplicasPerDaemon(connectionLimit(state, service), state.Daemons, len(list))
@@ -61,6 +65,9 @@
 			continue
 		}
 		subset.searchers[service] = r.markSpare(list, size)
+		for _, searcher := range list {
+			subset.keys[reporter.Hash(searcher.Key())] = searcher.Key()
+		}
 	}
 	r.cachedSubset.Store(subset)
 	return subset
--- a/internal/responder/metrics.go
+++ b/internal/responder/metrics.go
@@ -15,6 +15,8 @@
 	dials         *vm.Counter
 	connections   *vm.Gauge
 	shardSeconds  *vm.Histogram
+	// sharedObservations counts the observations of other daemons that were applied.
+	sharedObservations *vm.Counter
 }
 
 // NewMetrics registers a responder's metrics in set.
@@ -27,6 +29,8 @@
 		dials:         set.NewCounter("searcherDialsTotal"),
 		connections:   set.NewGauge("searcherConnections", nil),
 		shardSeconds:  set.NewHistogram("shardSeconds"),
+
+		sharedObservations: set.NewCounter("sharedObservationsTotal"),
 	}
 }
 
--- /dev/null
+++ b/internal/responder/observations.go
@@ -0,0 +1,88 @@
+package responder
+
+import (
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/fuchsiastile/fuchsiastile/internal/reporter"
+)
+
+// reportInterval is the interval at which observations are reported to the collectors
+// and summaries are sent.
+const reportInterval = 500 * time.Millisecond
+
+// ownReport is the sender of this daemon's own observations in its pool.
+const ownReport = "self"
+
+// sharesObservations reports whether the daemons share their observations: each of
+// them uses only some of the replicas and knows too little of the others.
+func (r *Responder) sharesObservations() bool {
+	state := r.config.State()
+	return state.Ready() && r.isEnabled(PolicySharedObservations) && len(r.subsetFor(state).keys) > 0
+}
+
+// shareObservations sends this daemon's observations to the collectors and, if it is
+// one itself, the summary of its pool to the daemons of its failure domain.
+func (r *Responder) shareObservations(now time.Time) {
+	report := r.reporter.Report()
+	if !r.sharesObservations() {
+		return
+	}
+	r.config.SendReport(report)
+	if !r.config.IsCollector() {
+		return
+	}
+	r.reporter.Collect(ownReport, report)
+	summary := r.reporter.Summary()
+	if len(summary.Searchers) > 0 {
+		klog.InfoS("searchers deviate", "searchers", len(summary.Searchers), "typicalMillis", summary.TypicalServiceTime.Milliseconds())
+	}
+	r.config.SendSummary(summary)
+	r.ApplySummary(now, summary)
+}
+
+// CollectReport adds what another daemon observed to the pool.
+func (r *Responder) CollectReport(sender string, report []reporter.Observation) {
+	if r.sharesObservations() {
+		r.reporter.Collect(sender, report)
+	}
+}
+
+// ApplySummary passes the pooled observations of known searchers to the picker.
+func (r *Responder) ApplySummary(now time.Time, summary reporter.Summary) {
+	if !r.sharesObservations() {
+		return
+	}
+	keys := r.subsetFor(r.config.State()).keys
+	for _, o := range summary.Searchers {
+		if key, ok := keys[o.Searcher]; ok {
+			r.picker.RecordShared(now, key, o, summary.TypicalServiceTime)
+			r.config.Metrics.sharedObservations.Inc()
+		}
+	}
+}
+
+// observeReply records a reply to a shard request for the next report.
+func (run *runner) observeReply(attempt *pendingAttempt, latency time.Duration) {
+	if run.call.route.IsScatterGather() {
+		key := attempt.searcher.Key()
+		run.responder.reporter.RecordAnswer(key, run.responder.picker.ServiceTimeSample(attempt.searcher, latency))
+	}
+}
+
+// observeAbandoned records a first request that was abandoned for the next report: the
+// elapsed time is at least the hedge delay, and the service time is longer still. The
+// elapsed time of a hedge says nothing.
+func (run *runner) observeAbandoned(attempt *pendingAttempt, elapsed time.Duration) {
+	if !attempt.extra {
+		run.observeReply(attempt, elapsed)
+	}
+}
+
+// observeRefusal records a refusal of a shard request for the next report.
+func (run *runner) observeRefusal(attempt *pendingAttempt) {
+	if run.call.route.IsScatterGather() {
+		run.responder.reporter.RecordRefusal(attempt.searcher.Key())
+	}
+}
--- a/internal/responder/policies.go
+++ b/internal/responder/policies.go
@@ -42,11 +42,14 @@
 	// PolicyPreconnect opens connections before they are needed if the connection
 	// limits allow it.
 	PolicyPreconnect Policy = "warm"
+	// PolicySharedObservations combines the daemons' observations of searchers if
+	// each daemon uses only some of the replicas.
+	PolicySharedObservations Policy = "sharedObservations"
 )
 
 // Policies returns all policies.
 func Policies() []Policy {
-	return []Policy{PolicyHedge, PolicyEarlyHedge, PolicyPartialResponse, PolicySkipUnresponsive, PolicyLoadAware, PolicySubsetting, PolicyPreconnect}
+	return []Policy{PolicyHedge, PolicyEarlyHedge, PolicyPartialResponse, PolicySkipUnresponsive, PolicyLoadAware, PolicySubsetting, PolicyPreconnect, PolicySharedObservations}
 }
 
 // ParsePolicies parses a list of policy names separated by commas or spaces.
--- a/internal/responder/responder.go
+++ b/internal/responder/responder.go
@@ -24,6 +24,7 @@
 	"github.com/fuchsiastile/fuchsiastile/internal/hedger"
 	"github.com/fuchsiastile/fuchsiastile/internal/picker"
 	"github.com/fuchsiastile/fuchsiastile/internal/planner"
+	"github.com/fuchsiastile/fuchsiastile/internal/reporter"
 	"github.com/fuchsiastile/fuchsiastile/internal/scheduler"
 	"github.com/fuchsiastile/fuchsiastile/platform"
 )
@@ -74,6 +75,13 @@
 	// OnDisplaced is called with the key of a searcher when this daemon detects that
 	// its address now belongs to another process.
 	OnDisplaced func(key string)
+	// IsCollector reports whether this daemon pools the observations of its failure
+	// domain.
+	IsCollector func() bool
+	// SendReport sends observations to the collectors, and SendSummary sends pooled
+	// ones to the daemons of this failure domain.
+	SendReport  func([]reporter.Observation)
+	SendSummary func(reporter.Summary)
 	// Stopping reports whether the daemon is shutting down; responses then ask the
 	// callers to close their connections.
 	Stopping func() bool
@@ -90,6 +98,7 @@
 	picker    *picker.Picker
 	budget    *budgeter.Budgeter
 	exchanger *exchanger.Exchanger
+	reporter  *reporter.Reporter
 	// attempts is the last attempt ID. Attempt IDs are used only in this process.
 	attempts atomic.Uint64
 	// backendSequence is the number of the last request; the number selects the
@@ -132,11 +141,13 @@
 		}),
 		budget:    budgeter.New(budgetConfig(config.Settings.Bounds), now, config.Settings.Bootstrap),
 		exchanger: exchanger.New(config.Network, config.Metrics.dials.Inc),
+		reporter:  reporter.New(),
 		hedgers:   map[hedgerKey]*hedger.Hedger{},
 		started:   now,
 	}
 	r.backendSequence.Store(config.Rand.Uint64())
 	config.Scheduler.Every(sweepInterval, r.sweep)
+	config.Scheduler.Every(reportInterval, r.shareObservations)
 	return r
 }
 
--- a/internal/responder/results.go
+++ b/internal/responder/results.go
@@ -64,6 +64,7 @@
 	switch outcome := platform.ClassifyReply(res.reply.Status, res.reply.Header); outcome {
 	case platform.Success:
 		p.RecordReply(now, key, latency, framer.Load{})
+		run.observeReply(attempt, latency)
 		run.hedger.RecordLatency(latency, false)
 		run.replies[res.attemptID] = res.reply
 		m.countShardResult("answered")
@@ -71,6 +72,7 @@
 		return gatherer.Answered, gatherer.ReasonNone
 	case platform.Shed:
 		p.RecordRefusal(now, key, framer.Load{})
+		run.observeRefusal(attempt)
 		run.trail.attemptEnded(attempt, now, "shed")
 		m.countShardResult("shed")
 		return gatherer.NotRun, gatherer.ReasonRefused
--- a/internal/responder/runner.go
+++ b/internal/responder/runner.go
@@ -260,6 +260,7 @@
 	p, now := run.responder.picker, time.Now()
 	p.Release(attempt.searcher.Key())
 	p.RecordAbandoned(now, attempt.searcher.Key(), now.Sub(attempt.sentAt))
+	run.observeAbandoned(attempt, now.Sub(attempt.sentAt))
 	run.trail.attemptEnded(attempt, now, "outrun")
 }
 
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -81,7 +81,11 @@
 		WithDeclarations(declarer.Declarations{Services: []declarer.Service{{Name: "parts", Selector: "app=parts", ConnectionLimit: 4}}}).
 		WithIndexes(declarer.Indexes{Services: map[string]declarer.Snapshot{"parts": {Name: "v1", Shards: []declarer.ShardPlacement{{Name: "s0", Selector: "app=parts"}}}}}).
 		WithVMs([]declarer.VM{{Name: "vm", Address: searcher, FailureDomain: "a", State: declarer.VMLive, Labels: map[string]string{"app": "parts"}}})
-	live := []*messenger.Member{{Address: "192.0.2.1:7001", FailureDomain: "a"}}
+	live := []*messenger.Member{{Address: "192.0.2.1:7001", FailureDomain: "a"}, {Address: "192.0.2.2:7001", FailureDomain: "a"}}
+	liveBefore := live
+	if membersChanged {
+		liveBefore = live[:1]
+	}
 	r := New(Config{Self: "192.0.2.1:7001", Route: loader.RouteDirect})
 	var view atomic.Pointer[planner.View]
 	view.Store(planner.New())
@@ -99,7 +103,7 @@
 			read := view.Load()
 			close(hasRead)
 			<-resume
-			return live, read
+			return liveBefore, read
 		})
 	}()
 	<-hasRead
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -25,6 +25,7 @@
 	"github.com/fuchsiastile/fuchsiastile/internal/failer"
 	"github.com/fuchsiastile/fuchsiastile/internal/follower"
 	"github.com/fuchsiastile/fuchsiastile/internal/planner"
+	"github.com/fuchsiastile/fuchsiastile/internal/reporter"
 	"github.com/fuchsiastile/fuchsiastile/internal/responder"
 	"github.com/fuchsiastile/fuchsiastile/internal/scheduler"
 	"github.com/fuchsiastile/fuchsiastile/platform"
@@ -117,6 +118,8 @@
 		OnStoreCall: storeCalls.Inc,
 		OnChange:    func(state *follower.State) { s.responder.ConfigureBudget(s.settings.Load().Bounds, state) },
 		OnDisplaced: func(now time.Time, key string) { s.responder.MarkDisplaced(now, key, false) },
+		OnReport:    func(sender string, report []reporter.Observation) { s.responder.CollectReport(sender, report) },
+		OnSummary:   func(now time.Time, summary reporter.Summary) { s.responder.ApplySummary(now, summary) },
 		OnPacket: func(direction string, bytes int) {
 			s.metrics.GetOrCreateCounter(fmt.Sprintf(`memberPacketsTotal{direction=%q}`, direction)).Inc()
 			s.metrics.GetOrCreateCounter(fmt.Sprintf(`memberBytesTotal{direction=%q}`, direction)).Add(bytes)
@@ -135,6 +138,9 @@
 		Stopping:  s.stopping.Load,
 
 		OnDisplaced:      s.follower.AnnounceDisplaced,
+		IsCollector:      s.follower.IsCollector,
+		SendReport:       s.follower.SendReport,
+		SendSummary:      s.follower.SendSummary,
 		DisabledPolicies: config.DisabledPolicies,
 		Metrics:          responder.NewMetrics(s.metrics),
 		Rand:             newRand(),
