Shared observations count failures too; the higher refusal cost is theirs alone

A report now counts requests that were refused or whose reply was lost or unusable. It is 60 ms again for what a daemon observed alone.

--- a/internal/follower/gossip.go
+++ b/internal/follower/gossip.go
@@ -97,7 +97,7 @@
 	out := make([]*messenger.Observation, len(list))
 	for i, o := range list {
 		out[i] = &messenger.Observation{
-			Searcher: o.Searcher, Answered: uint32(o.Answered), Refused: uint32(o.Refused),
+			Searcher: o.Searcher, Answered: uint32(o.Answered), Failed: uint32(o.Failed),
 			ServiceMicros: encodeMicros(o.ServiceTime),
 		}
 	}
@@ -108,7 +108,7 @@
 	out := make([]reporter.Observation, len(list))
 	for i, o := range list {
 		out[i] = reporter.Observation{
-			Searcher: o.GetSearcher(), Answered: int(o.GetAnswered()), Refused: int(o.GetRefused()),
+			Searcher: o.GetSearcher(), Answered: int(o.GetAnswered()), Failed: int(o.GetFailed()),
 			ServiceTime: decodeMicros(o.GetServiceMicros()),
 		}
 	}
--- a/internal/picker/estimate.go
+++ b/internal/picker/estimate.go
@@ -42,7 +42,11 @@
 	typicalTTL = 15 * time.Second
 	// retryCost is the cost of a refused request: it needs a retry, which comes from
 	// a scarce budget and mostly goes to another region.
-	retryCost = 150 * time.Millisecond
+	retryCost = 60 * time.Millisecond
+	// sharedRetryCost replaces retryCost for a server that other daemons observed, too:
+	// the refusal rate is then known well enough to leave the only replica with an open
+	// connection.
+	sharedRetryCost = 150 * time.Millisecond
 	// sparePenalty keeps requests away from searchers whose connections are meant
 	// for other daemons, unless all other searchers are paused, ejected or refusing.
 	sparePenalty = 40 * time.Millisecond
@@ -97,9 +101,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.state(key)
-	if n := o.Answered + o.Refused; n > 0 {
+	if n := o.Answered + o.Failed; n > 0 {
 		weight := sharedWeight(refusalRateSmoothing, n)
-		s.refusalRate += weight * (float64(o.Refused)/float64(n) - s.refusalRate)
+		s.refusalRate += weight * (float64(o.Failed)/float64(n) - s.refusalRate)
 		s.refusalRateAt = now
 	}
 	if o.Answered > 0 && s.serviceTime > 0 {
@@ -213,7 +217,14 @@
 	}
 	cost += max(0, s.avoidUntil.Sub(now))
 	refusalRate := min(maxRefusalRate, s.refusalRate*decay(now.Sub(s.refusalRateAt), s.halfLife(refusalRateHalfLife)))
-	return cost + time.Duration(float64(retryCost)*refusalRate/(1-refusalRate))
+	return cost + time.Duration(float64(s.retryCost())*refusalRate/(1-refusalRate))
+}
+
+func (s *serverState) retryCost() time.Duration {
+	if s.halfLifeFactor > 0 {
+		return sharedRetryCost
+	}
+	return retryCost
 }
 
 func (p *Picker) sparePenalty(c planner.Searcher) time.Duration {
--- a/internal/reporter/load_test.go
+++ b/internal/reporter/load_test.go
@@ -140,7 +140,7 @@
 		d.picker.Release(key)
 		if m.rng.Float64() < m.refusing[key] {
 			d.picker.RecordRefusal(now, key, framer.Load{})
-			d.reporter.RecordRefusal(key)
+			d.reporter.RecordFailure(key)
 			continue
 		}
 		m.answer(now, d, replicas, key)
--- a/internal/reporter/reporter.go
+++ b/internal/reporter/reporter.go
@@ -1,6 +1,6 @@
 // Package reporter combines what the daemons of a failure domain observe of the
 // searchers. In a large tier a daemon meets each searcher only every few seconds,
-// so that its own observations are too few to avoid one that refuses requests or is
+// so that its own observations are too few to avoid one that fails requests or is
 // slow. Each daemon reports its observations to collectors, which pool them and send
 // a summary of the searchers that deviate to all daemons of their failure domain.
 // It performs no I/O.
@@ -30,8 +30,8 @@
 	// recoveryIntervals is the number of intervals for which a searcher that no longer
 	// deviates stays in summaries.
 	recoveryIntervals = 16
-	// minRefusedShare is the share of refused requests from which a searcher deviates.
-	minRefusedShare = 0.2
+	// minFailedShare is the share of failed requests from which a searcher deviates.
+	minFailedShare = 0.2
 	// slowFactor is the ratio of a searcher's service time to the typical one from
 	// which it deviates.
 	slowFactor = 2.5
@@ -43,19 +43,20 @@
 type Observation struct {
 	// Searcher is the Hash of the searcher's key.
 	Searcher uint64
-	// Answered and Refused count the requests that were answered and refused.
-	Answered, Refused int
+	// Answered counts the requests that were answered, Failed those that were refused or
+	// whose answer was lost or unusable.
+	Answered, Failed int
 	// ServiceTime is the mean service time of the answered requests, without the
 	// network round trip.
 	ServiceTime time.Duration
 }
 
 // requests returns the number of requests observed.
-func (o Observation) requests() int { return o.Answered + o.Refused }
+func (o Observation) requests() int { return o.Answered + o.Failed }
 
-// refusedShare returns the share of the requests that were refused.
-func (o Observation) refusedShare() float64 {
-	return float64(o.Refused) / float64(max(1, o.requests()))
+// failedShare returns the share of the requests that failed.
+func (o Observation) failedShare() float64 {
+	return float64(o.Failed) / float64(max(1, o.requests()))
 }
 
 // plus returns the observation of both.
@@ -65,16 +66,16 @@
 		total := o.ServiceTime*time.Duration(o.Answered) + other.ServiceTime*time.Duration(other.Answered)
 		o.ServiceTime = total / time.Duration(answered)
 	}
-	o.Answered, o.Refused = answered, o.Refused+other.Refused
+	o.Answered, o.Failed = answered, o.Failed+other.Failed
 	return o
 }
 
 // bounded returns the observation with at most maxPerSender requests.
 func (o Observation) bounded() Observation {
-	o.Answered, o.Refused = max(0, o.Answered), max(0, o.Refused)
+	o.Answered, o.Failed = max(0, o.Answered), max(0, o.Failed)
 	if n := o.requests(); n > maxPerSender {
-		o.Refused = o.Refused * maxPerSender / n
-		o.Answered = maxPerSender - o.Refused
+		o.Failed = o.Failed * maxPerSender / n
+		o.Answered = maxPerSender - o.Failed
 	}
 	return o
 }
@@ -84,7 +85,7 @@
 
 // Summary is what a collector pooled during an interval.
 type Summary struct {
-	// Searchers holds the searchers that refuse requests or are slow, the worst first,
+	// Searchers holds the searchers that fail requests or are slow, the worst first,
 	// and those that did so a short time ago and have recovered.
 	Searchers []Observation
 	// TypicalServiceTime is the median service time of all searchers in the pool; zero
@@ -122,9 +123,10 @@
 	r.record(Observation{Searcher: Hash(key), Answered: 1, ServiceTime: max(0, serviceTime)})
 }
 
-// RecordRefusal records that a searcher refused a request because it had no capacity.
-func (r *Reporter) RecordRefusal(key string) {
-	r.record(Observation{Searcher: Hash(key), Refused: 1})
+// RecordFailure records that a searcher refused a request, or that its answer was lost
+// or unusable.
+func (r *Reporter) RecordFailure(key string) {
+	r.record(Observation{Searcher: Hash(key), Failed: 1})
 }
 
 func (r *Reporter) record(o Observation) {
@@ -135,7 +137,7 @@
 	r.own[o.Searcher] = previous.plus(o)
 }
 
-// Report returns and clears the own observations: those with refusals first, then
+// Report returns and clears the own observations: those with failures first, then
 // those with most requests, as far as a report holds them.
 func (r *Reporter) Report() []Observation {
 	r.mu.Lock()
@@ -143,7 +145,7 @@
 	r.own = map[uint64]Observation{}
 	r.mu.Unlock()
 	return largest(slices.Collect(maps.Values(own)), func(o Observation) float64 {
-		return float64(o.Refused*maxPerSender + o.requests())
+		return float64(o.Failed*maxPerSender + o.requests())
 	})
 }
 
@@ -183,7 +185,7 @@
 	}
 	r.startInterval()
 	searchers = largest(searchers, func(o Observation) float64 {
-		return o.refusedShare() + float64(o.ServiceTime)/(slowFactor*float64(max(1, typical)))
+		return o.failedShare() + float64(o.ServiceTime)/(slowFactor*float64(max(1, typical)))
 	})
 	return Summary{Searchers: searchers, TypicalServiceTime: typical}
 }
@@ -207,7 +209,7 @@
 
 func (p *pooled) deviates(typical time.Duration) bool {
 	slow := p.Answered > 0 && float64(p.ServiceTime) > slowFactor*float64(typical)
-	return slow || p.refusedShare() >= minRefusedShare
+	return slow || p.failedShare() >= minFailedShare
 }
 
 func typicalServiceTime(pool map[uint64]*pooled) time.Duration {
--- a/internal/reporter/reporter_test.go
+++ b/internal/reporter/reporter_test.go
@@ -10,8 +10,8 @@
 )
 
 // report returns the report of a daemon that observed one searcher.
-func report(key string, answered, refused int, serviceTime time.Duration) []Observation {
-	return []Observation{{Searcher: Hash(key), Answered: answered, Refused: refused, ServiceTime: serviceTime}}
+func report(key string, answered, failed int, serviceTime time.Duration) []Observation {
+	return []Observation{{Searcher: Hash(key), Answered: answered, Failed: failed, ServiceTime: serviceTime}}
 }
 
 func TestSummaryNamesSearchersThatDeviate(t *testing.T) {
@@ -30,7 +30,7 @@
 	is.Equal(summary.TypicalServiceTime, 20*time.Millisecond)
 	is.Equal(len(summary.Searchers), 2)
 	is.Equal(summary.Searchers[0], Observation{Searcher: Hash("slow"), Answered: 3, ServiceTime: 60 * time.Millisecond})
-	is.Equal(summary.Searchers[1], Observation{Searcher: Hash("refusing"), Answered: 3, Refused: 3, ServiceTime: 20 * time.Millisecond})
+	is.Equal(summary.Searchers[1], Observation{Searcher: Hash("refusing"), Answered: 3, Failed: 3, ServiceTime: 20 * time.Millisecond})
 	is.Equal(len(r.Summary().Searchers), 0) // each observation counts once
 }
 
@@ -75,7 +75,7 @@
 	for n := range 10 * maxObservations {
 		r.RecordAnswer(fmt.Sprint("searcher-", n), time.Millisecond)
 	}
-	r.RecordRefusal("refusing")
+	r.RecordFailure("refusing")
 	own := r.Report()
 	is.Equal(len(own), maxObservations)
 	is.Equal(own[0].Searcher, Hash("refusing"))
--- a/internal/responder/observations.go
+++ b/internal/responder/observations.go
@@ -80,9 +80,10 @@
 	}
 }
 
-// observeRefusal records a refusal of a shard request for the next report.
-func (run *runner) observeRefusal(attempt *pendingAttempt) {
+// observeFailure records a shard request that was refused, or whose reply was lost or
+// unusable, for the next report.
+func (run *runner) observeFailure(attempt *pendingAttempt) {
 	if run.call.route.IsScatterGather() {
-		run.responder.reporter.RecordRefusal(attempt.searcher.Key())
+		run.responder.reporter.RecordFailure(attempt.searcher.Key())
 	}
 }
--- a/internal/responder/results.go
+++ b/internal/responder/results.go
@@ -44,6 +44,7 @@
 		p.RecordFailure(now, key)
 	default:
 		p.RecordFailure(now, key)
+		run.observeFailure(attempt)
 	}
 	run.trail.attemptEnded(attempt, now, string(kind))
 	run.responder.config.Metrics.countShardResult(string(kind))
@@ -72,7 +73,7 @@
 		return gatherer.Answered, gatherer.ReasonNone
 	case platform.Shed:
 		p.RecordRefusal(now, key, framer.Load{})
-		run.observeRefusal(attempt)
+		run.observeFailure(attempt)
 		run.trail.attemptEnded(attempt, now, "shed")
 		m.countShardResult("shed")
 		return gatherer.NotRun, gatherer.ReasonRefused
@@ -83,6 +84,7 @@
 		return gatherer.NotRun, gatherer.ReasonSearcherReplaced
 	default:
 		p.RecordFailure(now, key)
+		run.observeFailure(attempt)
 		run.trail.attemptEnded(attempt, now, "failed")
 		m.countShardResult("failed")
 		if platform.CanForwardReply(res.reply.Status, res.reply.Header) {
