Summaries name a recovered searcher twice, not for eight seconds

Each pause of a searcher made it deviate for a moment, so that in calm the summaries were full of searchers that had recovered.

--- a/internal/reporter/reporter.go
+++ b/internal/reporter/reporter.go
@@ -27,9 +27,10 @@
 	// senderIntervals intervals for it to be in a summary.
 	minSenders      = 2
 	senderIntervals = 4
-	// recoveryIntervals is the number of intervals for which a searcher that no longer
-	// deviates stays in summaries.
+	// recoveryIntervals is how long a searcher that deviated is remembered, and
+	// recoveryReports the number of summaries that name it once it no longer deviates.
 	recoveryIntervals = 16
+	recoveryReports   = 2
 	// minFailedShare is the share of failed requests from which a searcher deviates.
 	minFailedShare = 0.2
 	// slowFactor is the ratio of a searcher's service time to the typical one from
@@ -99,8 +100,10 @@
 	// senders maps up to minSenders daemons that reported to the interval of their last
 	// report.
 	senders map[string]int
-	// deviated is the last interval in which the searcher deviated; zero if it never did.
-	deviated int
+	// deviated is the last interval in which the searcher deviated; zero if it did not
+	// within recoveryIntervals. recoveries counts the summaries that named it since.
+	deviated   int
+	recoveries int
 }
 
 // Reporter holds the observations of one daemon and, on a collector, those that
@@ -177,9 +180,10 @@
 	var searchers []Observation
 	for _, p := range r.pool {
 		if len(p.senders) >= minSenders && p.deviates(typical) {
-			p.deviated = r.interval
+			p.deviated, p.recoveries = r.interval, 0
 			searchers = append(searchers, p.Observation)
-		} else if p.deviated > 0 && p.requests() > 0 {
+		} else if p.deviated > 0 && p.requests() > 0 && p.recoveries < recoveryReports {
+			p.recoveries++
 			searchers = append(searchers, p.Observation)
 		}
 	}
--- a/internal/reporter/reporter_test.go
+++ b/internal/reporter/reporter_test.go
@@ -34,8 +34,8 @@
 	is.Equal(len(r.Summary().Searchers), 0) // each observation counts once
 }
 
-// TestRecoveredSearcherIsNamed checks that a searcher that deviated is in the summary
-// once more when it is sound again, so that daemons that avoid it learn that.
+// TestRecoveredSearcherIsNamed checks that a searcher that deviated is in a few summaries
+// when it is sound again, so that daemons that avoid it learn that.
 func TestRecoveredSearcherIsNamed(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
@@ -44,8 +44,10 @@
 	r.Collect("b", report("x", 0, 1, 0))
 	is.Equal(len(r.Summary().Searchers), 1)
 	is.Equal(len(r.Summary().Searchers), 0) // nobody met it
-	r.Collect("c", report("x", 1, 0, time.Millisecond))
-	is.Equal(r.Summary().Searchers, []Observation{{Searcher: Hash("x"), Answered: 1, ServiceTime: time.Millisecond}})
+	for n := range recoveryReports + 1 {
+		r.Collect("c", report("x", 1, 0, time.Millisecond))
+		is.Equal(len(r.Summary().Searchers), min(1, recoveryReports-n))
+	}
 }
 
 // TestOneDaemonCannotCondemnSearchers covers a daemon that reports false refusals or
