Exchanger: long reply bodies share 8 MiB

Cause: a body may have 4 MiB, so that searchers that send endless bodies for all shards of a query took 488 MB of heap (190 searchers), more than a small VM has. Bodies beyond 64 KiB take room from a pool; without room the exchange ends. The test has the memory of the smallest VM as its bound and failed first.

--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -108,6 +108,7 @@
 	network dialer.Network
 	// onDial is called for each new connection.
 	onDial func()
+	bodies *bodyPool
 
 	mu      sync.Mutex
 	servers map[string]*server
@@ -134,7 +135,7 @@
 
 // New returns an Exchanger without connections. It calls onDial for each new one.
 func New(network dialer.Network, onDial func()) *Exchanger {
-	return &Exchanger{network: network, onDial: onDial, servers: map[string]*server{}}
+	return &Exchanger{network: network, onDial: onDial, bodies: newBodyPool(bodyPoolBytes), servers: map[string]*server{}}
 }
 
 // Target identifies the server of a request.
@@ -366,7 +367,7 @@
 	} else {
 		written <- request.writeTo(c)
 	}
-	reply, canReuse, err := c.readReply(request)
+	reply, canReuse, err := c.readReply(request, e.bodies)
 	if err != nil {
 		return Reply{}, false, err
 	}
@@ -381,7 +382,7 @@
 
 // readReply reads the reply to a request and skips stray ones, which belong to
 // other requests. It reports whether the connection can be reused.
-func (c *conn) readReply(request Request) (Reply, bool, error) {
+func (c *conn) readReply(request Request, pool *bodyPool) (Reply, bool, error) {
 	for range maxStrayReplies + 1 {
 		c.limit.N = maxHeadBytes
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: request.Method})
@@ -391,13 +392,10 @@
 		c.limit.N = maxBodyWireBytes
 		// A body that is not read to its end is not closed, since Close would read the
 		// rest of it; the connection is closed instead.
-		body, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes+1))
+		body, err := pool.read(response.Body)
 		if err != nil {
 			return Reply{}, false, err
 		}
-		if len(body) > maxReplyBytes {
-			return Reply{}, false, errors.New("reply body exceeds the maximum size")
-		}
 		_ = response.Body.Close()
 		if response.StatusCode < http.StatusOK {
 			continue
--- a/internal/exchanger/exchanger_test.go
+++ b/internal/exchanger/exchanger_test.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -332,3 +334,55 @@
 		})
 	}
 }
+
+// TestEndlessBodiesOfAllShardsStayWithinMemory covers a query whose searchers all send
+// endless bodies at the same time: the heap must stay below the memory of the smallest VM
+// of the users' deployments, and sound replies must still be read beside them.
+func TestEndlessBodiesOfAllShardsStayWithinMemory(t *testing.T) {
+	is := is.New(t)
+	const shards, memoryLimit = 190, 136 << 20
+	block := []byte(strings.Repeat("0123456789abcdef", 256))
+	endless := newScriptedServer(t, func(conn net.Conn, _ int64) {
+		writeString(conn, "HTTP/1.1 200 OK\r\nId: mine\r\n\r\n")
+		for total := 0; total < endlessBytes; total += len(block) {
+			if _, err := conn.Write(block); err != nil {
+				return
+			}
+		}
+	})
+	sound := newScriptedServer(t, func(conn net.Conn, _ int64) { writeString(conn, formatReply("mine", "hello")) })
+	f := newFixture(endless.address, shards)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	var wait sync.WaitGroup
+	for range shards {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			_, err := f.Do(ctx, f.target, newRequest())
+			is.True(failer.Is(err, exchanger.KindReplyLost))
+		}()
+	}
+	finished := make(chan struct{})
+	go func() {
+		defer close(finished)
+		wait.Wait()
+	}()
+	peak := uint64(0)
+	for done := false; !done; {
+		select {
+		case <-finished:
+			done = true
+		case <-time.After(time.Millisecond):
+		}
+		var memory runtime.MemStats
+		runtime.ReadMemStats(&memory)
+		peak = max(peak, memory.HeapInuse)
+		reply, err := f.Do(ctx, exchanger.Target{Key: "sound", Address: sound.address, Limit: 1}, newRequest())
+		is.NoErr(err)
+		is.Equal(string(reply.Body), "hello")
+	}
+	is.NoErr(ctx.Err())
+	t.Logf("at most %d MB of heap in use", peak>>20)
+	is.True(peak < memoryLimit)
+}
