--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -54,9 +54,6 @@
 	// forwardersPerDomain is how many daemons of a failure domain receive heads from
 	// the store's reader in another domain and forward them within their own.
 	forwardersPerDomain = 2
-	// collectorsPerDomain is how many daemons of a failure domain pool its
-	// observations; with two, the loss of one loses none.
-	collectorsPerDomain = 2
 	// One in crossRegionEvery probe rounds covers all regions; the others cover this
 	// daemon's region only.
 	crossRegionEvery = 3
--- a/internal/follower/gossip.go
+++ b/internal/follower/gossip.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -11,7 +10,6 @@
 
 	"github.com/fuchsiastile/fuchsiastile/internal/assigner"
 	"github.com/fuchsiastile/fuchsiastile/internal/messenger"
-	"github.com/fuchsiastile/fuchsiastile/internal/reporter"
 	"github.com/fuchsiastile/fuchsiastile/internal/scheduler"
 )
 
@@ -47,18 +45,6 @@
 	})
 }
 
-// IsCollector reports whether this daemon is one of those that pool the observations
-// of its failure domain.
-func (f *Follower) IsCollector() bool {
-	return slices.Contains(f.collectors(), f.address)
-}
-
-// collectors returns the addresses of the collectors of this failure domain, from the
-// membership.
-func (f *Follower) collectors() []string {
-	return assigner.TopRanked("observations", f.localAddresses(), collectorsPerDomain)
-}
-
 // localAddresses returns the addresses of the live daemons of this failure domain.
 func (f *Follower) localAddresses() []string {
 	return addresses(f.gossip.Live(), func(m *messenger.Member) bool {
@@ -66,55 +52,6 @@
 	})
 }
 
-// SendReport sends what this daemon observed to the other collectors of its failure
-// domain.
-func (f *Follower) SendReport(report []reporter.Observation) {
-	if len(report) == 0 {
-		return
-	}
-	to := slices.DeleteFunc(f.collectors(), func(a string) bool { return a == f.address })
-	f.gossip.SendTo(to, &messenger.Packet{From: f.address, Report: encodeObservations(report), Target: f.config.Settings.FailureDomain})
-}
-
-// SendSummary sends what this daemon pooled to the other daemons of its failure domain.
-func (f *Follower) SendSummary(summary reporter.Summary) {
-	if len(summary.Searchers) == 0 {
-		return
-	}
-	to := slices.DeleteFunc(f.localAddresses(), func(a string) bool { return a == f.address })
-	f.gossip.SendTo(to, &messenger.Packet{
-		From: f.address, Target: f.config.Settings.FailureDomain,
-		Summary: encodeObservations(summary.Searchers), TypicalServiceMicros: encodeMicros(summary.TypicalServiceTime),
-	})
-}
-
-// encodeMicros returns a duration of at least zero in microseconds.
-func encodeMicros(d time.Duration) uint32 { return uint32(min(d.Microseconds(), math.MaxUint32)) }
-
-func decodeMicros(micros uint32) time.Duration { return time.Duration(micros) * time.Microsecond }
-
-func encodeObservations(list []reporter.Observation) []*messenger.Observation {
-	out := make([]*messenger.Observation, len(list))
-	for i, o := range list {
-		out[i] = &messenger.Observation{
-			Searcher: o.Searcher, Answered: uint32(o.Answered), Failed: uint32(o.Failed),
-			ServiceMicros: encodeMicros(o.ServiceTime),
-		}
-	}
-	return out
-}
-
-func decodeObservations(list []*messenger.Observation) []reporter.Observation {
-	out := make([]reporter.Observation, len(list))
-	for i, o := range list {
-		out[i] = reporter.Observation{
-			Searcher: o.GetSearcher(), Answered: int(o.GetAnswered()), Failed: int(o.GetFailed()),
-			ServiceTime: decodeMicros(o.GetServiceMicros()),
-		}
-	}
-	return out
-}
-
 // forwardHead sends a head to the daemons of this failure domain if this daemon is
 // one of the domain's forwarders.
 func (f *Follower) forwardHead(head *messenger.Head) {
@@ -140,20 +77,13 @@
 	}
 }
 
-// handlePacket passes on observations, reports displaced searchers and compares a peer's heads with this
-// daemon's documents.
+// handlePacket passes on observations, reports displaced searchers and compares a
+// peer's heads with this daemon's documents.
 func (f *Follower) handlePacket(now time.Time, packet *messenger.Packet) {
 	for _, displaced := range packet.GetDraining() {
 		f.config.OnDisplaced(now, displaced.GetSearcher())
 	}
-	if report := packet.GetReport(); len(report) > 0 {
-		f.config.OnReport(packet.GetFrom(), decodeObservations(report))
-	}
-	if summary := packet.GetSummary(); len(summary) > 0 {
-		f.config.OnSummary(now, reporter.Summary{
-			Searchers: decodeObservations(summary), TypicalServiceTime: decodeMicros(packet.GetTypicalServiceMicros()),
-		})
-	}
+	f.handleObservations(now, packet)
 	// Only announcements (kind 0) carry the sender's failure domain, as their target.
 	otherDomain := packet.GetKind() == 0 && packet.GetTarget() != f.config.Settings.FailureDomain
 	for _, head := range packet.GetHeads() {
--- a/internal/picker/estimate.go
+++ b/internal/picker/estimate.go
@@ -34,17 +34,17 @@
 	// decays by half.
 	refusalRateHalfLife = 2 * time.Second
 	// maxHalfLifeFactor bounds the random factor by which the half-lives are longer for
-	// a server that other daemons observed, too. The daemons then try it again one after
+	// a server that other daemons reported. The daemons then try it again one after
 	// the other, and the first of them report whether it has recovered.
 	maxHalfLifeFactor = 4
-	// typicalTTL is how long the typical service time that came with an observation of
-	// other daemons is used.
-	typicalTTL = 15 * time.Second
+	// sharedTTL is how long a report of other daemons affects the estimates of a server.
+	// It is longer than the longest half-life.
+	sharedTTL = 15 * time.Second
 	// retryCost is the cost of a refused request: it needs a retry, which comes from
 	// a scarce budget and mostly goes to another region.
 	retryCost = 60 * time.Millisecond
-	// sharedRetryCost replaces retryCost for a server that other daemons observed, too:
-	// the refusal rate is then known well enough to leave the only replica with an open
+	// sharedRetryCost replaces retryCost for a server that other daemons reported: the
+	// refusal rate is then known well enough to leave the only replica with an open
 	// connection.
 	sharedRetryCost = 150 * time.Millisecond
 	// sparePenalty keeps requests away from searchers whose connections are meant
@@ -114,14 +114,20 @@
 	if o.Answered > 0 {
 		s.serviceTimeAt = now
 	}
-	s.typicalServiceTime, s.typicalAt = typical, now
+	s.sharedAt, s.typicalServiceTime = now, typical
 	s.halfLifeFactor = 1 + (maxHalfLifeFactor-1)*p.config.Rand.Float64()
 }
 
+// isShared reports whether other daemons have reported the server a short time ago.
+func (s *serverState) isShared(now time.Time) bool { return now.Sub(s.sharedAt) < sharedTTL }
+
 // halfLife returns a half-life for a server's measurements, which is longer if other
-// daemons observed it, too.
-func (s *serverState) halfLife(usual time.Duration) time.Duration {
-	return time.Duration(max(1, s.halfLifeFactor) * float64(usual))
+// daemons have reported it, too.
+func (s *serverState) halfLife(now time.Time, usual time.Duration) time.Duration {
+	if !s.isShared(now) {
+		return usual
+	}
+	return time.Duration(s.halfLifeFactor * float64(usual))
 }
 
 // sharedWeight returns the weight of the mean of n samples in a moving average with
@@ -188,7 +194,7 @@
 		lower(s.serviceTime)
 		// Otherwise a replica that was never used would be taken to be as slow as the
 		// only one that was.
-		if now.Sub(s.typicalAt) < typicalTTL {
+		if s.isShared(now) {
 			lower(s.typicalServiceTime)
 		}
 	}
@@ -216,12 +222,13 @@
 		cost += max(0, now.Sub(s.unansweredSince)-s.includedRTT-pauseFactor*service)
 	}
 	cost += max(0, s.avoidUntil.Sub(now))
-	refusalRate := min(maxRefusalRate, s.refusalRate*decay(now.Sub(s.refusalRateAt), s.halfLife(refusalRateHalfLife)))
-	return cost + time.Duration(float64(s.retryCost())*refusalRate/(1-refusalRate))
+	refusalRate := min(maxRefusalRate, s.refusalRate*decay(now.Sub(s.refusalRateAt), s.halfLife(now, refusalRateHalfLife)))
+	return cost + time.Duration(float64(s.retryCost(now))*refusalRate/(1-refusalRate))
 }
 
-func (s *serverState) retryCost() time.Duration {
-	if s.halfLifeFactor > 0 {
+// retryCost returns the cost of a refusal by the server.
+func (s *serverState) retryCost(now time.Time) time.Duration {
+	if s.isShared(now) {
 		return sharedRetryCost
 	}
 	return retryCost
@@ -243,7 +250,7 @@
 	case s.serviceTime == 0:
 		return defaultServiceTime
 	case p.config.Direct:
-		return minServiceTime + time.Duration(float64(s.serviceTime-minServiceTime)*decay(now.Sub(s.serviceTimeAt), s.halfLife(serviceTimeHalfLife)))
+		return minServiceTime + time.Duration(float64(s.serviceTime-minServiceTime)*decay(now.Sub(s.serviceTimeAt), s.halfLife(now, serviceTimeHalfLife)))
 	default:
 		return s.serviceTime
 	}
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -87,13 +87,13 @@
 	includedRTT time.Duration
 	// serviceTimeAt is the time of the last serviceTime sample.
 	serviceTimeAt time.Time
-	// typicalServiceTime is the service time of most servers when other daemons reported
-	// that this one deviates, at typicalAt; zero if they never did.
+	// sharedAt is when other daemons last reported this server; zero if they never did.
+	// typicalServiceTime is the service time of most servers at that time, and
+	// halfLifeFactor, at least one, multiplies the half-lives of serviceTime and
+	// refusalRate. Both apply until sharedTTL later.
+	sharedAt           time.Time
 	typicalServiceTime time.Duration
-	typicalAt          time.Time
-	// halfLifeFactor multiplies the half-lives of serviceTime and refusalRate; zero
-	// counts as one.
-	halfLifeFactor float64
+	halfLifeFactor     float64
 	// unansweredSince is the time since which the server has left requests
 	// unanswered: the send time of the first such request or the last reply,
 	// whichever is later. It is zero if there are none. Abandoned requests count.
