--- a/internal/picker/estimate.go
+++ b/internal/picker/estimate.go
@@ -49,7 +49,10 @@
 	sharedRetryCost = 150 * time.Millisecond
 	// sparePenalty keeps requests away from searchers whose connections are meant
 	// for other daemons, unless all other searchers are paused, ejected or refusing.
-	sparePenalty = 40 * time.Millisecond
+	// sharedSparePenalty replaces it for a shard of which other daemons reported a
+	// searcher: the daemon's own samples are then not all that speaks against it.
+	sparePenalty       = 100 * time.Millisecond
+	sharedSparePenalty = 40 * time.Millisecond
 	// unavailableAfter is how long a server must have left a request unanswered to
 	// be considered unavailable; queries do not wait for a shard whose replicas all
 	// are. It is longer than the pauses of searchers.
@@ -168,12 +171,30 @@
 	return math.Exp2(-float64(age) / float64(halfLife))
 }
 
+// baseline is what the costs of a shard's replicas are relative to.
+type baseline struct {
+	// serviceTime is the lowest service time of the replicas.
+	serviceTime time.Duration
+	// sparePenalty is the cost that is added for a spare replica.
+	sparePenalty time.Duration
+}
+
+func (p *Picker) baselineOf(now time.Time, usable []planner.Searcher) baseline {
+	b := baseline{serviceTime: p.minServiceTime(now, usable), sparePenalty: sparePenalty}
+	for _, c := range usable {
+		if p.state(c.Key()).isShared(now) {
+			b.sparePenalty = sharedSparePenalty
+		}
+	}
+	return b
+}
+
 // lowestCost returns the usable server with the lowest expected time. first wins ties.
 func (p *Picker) lowestCost(now time.Time, usable []planner.Searcher, first planner.Searcher) planner.Searcher {
-	minServiceTime := p.minServiceTime(now, usable)
-	best, bestCost := first, p.cost(now, first, minServiceTime)
+	base := p.baselineOf(now, usable)
+	best, bestCost := first, p.cost(now, first, base)
 	for _, c := range usable {
-		if cost := p.cost(now, c, minServiceTime); cost < bestCost {
+		if cost := p.cost(now, c, base); cost < bestCost {
 			best, bestCost = c, cost
 		}
 	}
@@ -206,10 +227,10 @@
 
 // cost returns the expected time of one more request to c: the network round
 // trip, queueing and service time, the remaining pause, and the expected cost of a
-// retry after a refusal. A spare searcher also has sparePenalty added.
-func (p *Picker) cost(now time.Time, c planner.Searcher, minServiceTime time.Duration) time.Duration {
+// retry after a refusal. A spare searcher also has the baseline's penalty added.
+func (p *Picker) cost(now time.Time, c planner.Searcher, base baseline) time.Duration {
 	s := p.state(c.Key())
-	service := p.expectedServiceTime(now, s, minServiceTime)
+	service := p.expectedServiceTime(now, s, base.serviceTime)
 	if now.Sub(s.firstSeenAt) < c.WarmUp {
 		service = time.Duration(warmUpFactor * float64(service))
 	}
@@ -217,7 +238,10 @@
 	if now.Sub(s.loadAt) < loadReportTTL {
 		pending = max(pending, s.load.InFlight+s.load.Queued)
 	}
-	cost := p.networkRTT(c) + p.sparePenalty(c) + service + service*time.Duration(pending)/time.Duration(slots)
+	cost := p.networkRTT(c) + service + service*time.Duration(pending)/time.Duration(slots)
+	if c.Spare {
+		cost += base.sparePenalty
+	}
 	if s.outstanding > 0 && !s.unansweredSince.IsZero() {
 		cost += max(0, now.Sub(s.unansweredSince)-s.includedRTT-pauseFactor*service)
 	}
@@ -234,13 +258,6 @@
 	return retryCost
 }
 
-func (p *Picker) sparePenalty(c planner.Searcher) time.Duration {
-	if c.Spare {
-		return sparePenalty
-	}
-	return 0
-}
-
 // expectedServiceTime returns the service time to expect of a server. With direct
 // requests, an old measurement decays towards that of the fastest replica.
 func (p *Picker) expectedServiceTime(now time.Time, s *serverState, minServiceTime time.Duration) time.Duration {
