--- a/internal/responder/observations.go
+++ b/internal/responder/observations.go
@@ -30,11 +30,16 @@
 		return
 	}
 	r.config.SendReport(report)
-	if !r.config.IsCollector() {
-		return
+	isCollector := r.config.IsCollector()
+	if isCollector {
+		r.reporter.Collect(ownReport, report)
 	}
-	r.reporter.Collect(ownReport, report)
+	// The interval ends on every daemon, since reports may also reach one that is not a
+	// collector, or not yet.
 	summary := r.reporter.Summary()
+	if !isCollector {
+		return
+	}
 	if len(summary.Searchers) > 0 {
 		klog.InfoS("searchers deviate", "searchers", len(summary.Searchers), "typicalMillis", summary.TypicalServiceTime.Milliseconds())
 	}
