Read again: shared observations rank collectors once and record nothing where nothing is shared

Cause, each found in the diff: every reply to a shard request was hashed and recorded, and sorted twice a second, also in tiers that share nothing; the collectors were ranked twice for each report; the loop over a shard's replicas ran twice for each pick; 'all but this daemon' stood in four places; ApplySummary looked the subset up twice; packer had a function that only its test called. Change: sharedKeys says what is shared, and the recording asks it first; SendReport says whether the daemon is a collector; baselineOf takes the place of minServiceTime; withoutSelf; the test compresses by itself. Checks and bounds are the same.

--- a/internal/follower/gossip.go
+++ b/internal/follower/gossip.go
@@ -39,7 +39,7 @@
 // AnnounceDisplaced announces to every daemon that another process now has the
 // address of a searcher.
 func (f *Follower) AnnounceDisplaced(key string) {
-	others := addresses(f.gossip.Live(), func(m *messenger.Member) bool { return m.GetAddress() != f.address })
+	others := f.withoutSelf(addresses(f.gossip.Live(), nil))
 	f.gossip.SendTo(others, &messenger.Packet{
 		From: f.address, Target: f.config.Settings.FailureDomain, Draining: []*messenger.Draining{{Searcher: key}},
 	})
@@ -52,6 +52,11 @@
 	})
 }
 
+// withoutSelf removes this daemon's address from a list, which it changes.
+func (f *Follower) withoutSelf(list []string) []string {
+	return slices.DeleteFunc(list, func(a string) bool { return a == f.address })
+}
+
 // forwardHead sends a head to the daemons of this failure domain if this daemon is
 // one of the domain's forwarders.
 func (f *Follower) forwardHead(head *messenger.Head) {
@@ -59,8 +64,7 @@
 	if head == nil || !slices.Contains(assigner.TopRanked("store", local, forwardersPerDomain), f.address) {
 		return
 	}
-	local = slices.DeleteFunc(local, func(a string) bool { return a == f.address })
-	f.gossip.SendTo(local, &messenger.Packet{From: f.address, Heads: []*messenger.Head{head}, Target: f.config.Settings.FailureDomain})
+	f.gossip.SendTo(f.withoutSelf(local), &messenger.Packet{From: f.address, Heads: []*messenger.Head{head}, Target: f.config.Settings.FailureDomain})
 }
 
 // attachHeads adds the heads of this daemon's documents to packets of the membership
--- a/internal/follower/observations.go
+++ b/internal/follower/observations.go
@@ -14,26 +14,17 @@
 // with two, the loss of one loses none.
 const collectorsPerDomain = 2
 
-// IsCollector reports whether this daemon is one of those that pool the observations
-// of its failure domain.
-func (f *Follower) IsCollector() bool {
-	return slices.Contains(f.collectors(), f.address)
-}
-
-// collectors returns the addresses of the collectors of this failure domain, from the
-// membership.
-func (f *Follower) collectors() []string {
-	return assigner.TopRanked("observations", f.localAddresses(), collectorsPerDomain)
-}
-
 // SendReport sends what this daemon observed to the other collectors of its failure
-// domain.
-func (f *Follower) SendReport(report []reporter.Observation) {
-	if len(report) == 0 {
-		return
+// domain, which follow from the membership, and reports whether this daemon is one.
+func (f *Follower) SendReport(report []reporter.Observation) (isCollector bool) {
+	collectors := assigner.TopRanked("observations", f.localAddresses(), collectorsPerDomain)
+	isCollector = slices.Contains(collectors, f.address)
+	if len(report) > 0 {
+		f.gossip.SendTo(f.withoutSelf(collectors), &messenger.Packet{
+			From: f.address, Target: f.config.Settings.FailureDomain, Report: encodeObservations(report),
+		})
 	}
-	to := slices.DeleteFunc(f.collectors(), func(a string) bool { return a == f.address })
-	f.gossip.SendTo(to, &messenger.Packet{From: f.address, Report: encodeObservations(report), Target: f.config.Settings.FailureDomain})
+	return isCollector
 }
 
 // SendSummary sends what this daemon pooled to the other daemons of its failure domain.
@@ -41,8 +32,7 @@
 	if len(summary.Searchers) == 0 {
 		return
 	}
-	to := slices.DeleteFunc(f.localAddresses(), func(a string) bool { return a == f.address })
-	f.gossip.SendTo(to, &messenger.Packet{
+	f.gossip.SendTo(f.withoutSelf(f.localAddresses()), &messenger.Packet{
 		From: f.address, Target: f.config.Settings.FailureDomain,
 		Summary: encodeObservations(summary.Searchers), TypicalServiceMicros: encodeMicros(summary.TypicalServiceTime),
 	})
--- a/internal/packer/packer.go
+++ b/internal/packer/packer.go
@@ -32,10 +32,6 @@
 	if len(content) > maxDocumentBytes {
 		return nil, failer.New("compress document", KindTooLong, "%d bytes exceed the limit of %d", len(content), maxDocumentBytes)
 	}
-	return compress(content)
-}
-
-func compress(content []byte) ([]byte, error) {
 	var out bytes.Buffer
 	w := gzip.NewWriter(&out)
 	if _, err := w.Write(content); err != nil {
--- a/internal/packer/packer_test.go
+++ b/internal/packer/packer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"compress/gzip"
 	"testing"
 
 	"github.com/matryer/is"
@@ -9,6 +10,18 @@
 	"github.com/fuchsiastile/fuchsiastile/internal/failer"
 )
 
+// compressWithoutLimit compresses a document as a peer without a limit does.
+func compressWithoutLimit(t *testing.T, content []byte) []byte {
+	t.Helper()
+	is := is.New(t)
+	var out bytes.Buffer
+	w := gzip.NewWriter(&out)
+	_, err := w.Write(content)
+	is.NoErr(err)
+	is.NoErr(w.Close())
+	return out.Bytes()
+}
+
 // TestTooLongDocumentIsRejected checks that a document is never cut at the limit: the
 // first part of a document may decode as a whole one that lacks entries.
 func TestTooLongDocumentIsRejected(t *testing.T) {
@@ -22,8 +35,7 @@
 		compressed, err := Compress(content)
 		is.Equal(failer.Is(err, KindTooLong), c.tooLong)
 		if c.tooLong {
-			compressed, err = compress(content)
-			is.NoErr(err)
+			compressed = compressWithoutLimit(t, content)
 		}
 		got, err := Decompress(compressed)
 		is.Equal(failer.Is(err, KindTooLong), c.tooLong)
--- a/internal/picker/estimate.go
+++ b/internal/picker/estimate.go
@@ -179,13 +179,28 @@
 	sparePenalty time.Duration
 }
 
+// baselineOf returns the baseline of a shard's usable replicas. Where no service time
+// is known, measured or typical, it is defaultServiceTime.
 func (p *Picker) baselineOf(now time.Time, usable []planner.Searcher) baseline {
-	b := baseline{serviceTime: p.minServiceTime(now, usable), sparePenalty: sparePenalty}
+	b := baseline{sparePenalty: sparePenalty}
+	lower := func(d time.Duration) {
+		if d > 0 && (b.serviceTime == 0 || d < b.serviceTime) {
+			b.serviceTime = d
+		}
+	}
 	for _, c := range usable {
-		if p.state(c.Key()).isShared(now) {
+		s := p.state(c.Key())
+		lower(s.serviceTime)
+		if s.isShared(now) {
+			// Otherwise a replica that was never used would be taken to be as slow as the
+			// only one that was.
+			lower(s.typicalServiceTime)
 			b.sparePenalty = sharedSparePenalty
 		}
 	}
+	if b.serviceTime == 0 {
+		b.serviceTime = defaultServiceTime
+	}
 	return b
 }
 
@@ -201,30 +216,6 @@
 	return best
 }
 
-// minServiceTime returns the lowest service time of the servers, measured or typical,
-// or defaultServiceTime if none is known.
-func (p *Picker) minServiceTime(now time.Time, servers []planner.Searcher) time.Duration {
-	least := time.Duration(0)
-	lower := func(d time.Duration) {
-		if d > 0 && (least == 0 || d < least) {
-			least = d
-		}
-	}
-	for _, c := range servers {
-		s := p.state(c.Key())
-		lower(s.serviceTime)
-		// Otherwise a replica that was never used would be taken to be as slow as the
-		// only one that was.
-		if s.isShared(now) {
-			lower(s.typicalServiceTime)
-		}
-	}
-	if least == 0 {
-		return defaultServiceTime
-	}
-	return least
-}
-
 // cost returns the expected time of one more request to c: the network round
 // trip, queueing and service time, the remaining pause, and the expected cost of a
 // retry after a refusal. A spare searcher also has the baseline's penalty added.
--- a/internal/responder/observations.go
+++ b/internal/responder/observations.go
@@ -15,22 +15,25 @@
 // ownReport is the sender of this daemon's own observations in its pool.
 const ownReport = "self"
 
-// sharesObservations reports whether the daemons share their observations: each of
-// them uses only some of the replicas and knows too little of the others.
-func (r *Responder) sharesObservations() bool {
+// sharedKeys returns the keys, by their hashes, of the searchers of which the daemons
+// share their observations: of their services each daemon uses only some of the
+// replicas and knows too little of the others.
+func (r *Responder) sharedKeys() map[uint64]string {
 	state := r.config.State()
-	return state.Ready() && r.isEnabled(PolicySharedObservations) && len(r.subsetFor(state).keys) > 0
+	if !state.Ready() || !r.isEnabled(PolicySharedObservations) {
+		return nil
+	}
+	return r.subsetFor(state).keys
 }
 
 // shareObservations sends this daemon's observations to the collectors and, if it is
 // one itself, the summary of its pool to the daemons of its failure domain.
 func (r *Responder) shareObservations(now time.Time) {
 	report := r.reporter.Report()
-	if !r.sharesObservations() {
+	if len(r.sharedKeys()) == 0 {
 		return
 	}
-	r.config.SendReport(report)
-	isCollector := r.config.IsCollector()
+	isCollector := r.config.SendReport(report)
 	if isCollector {
 		r.reporter.Collect(ownReport, report)
 	}
@@ -49,17 +52,14 @@
 
 // CollectReport adds what another daemon observed to the pool.
 func (r *Responder) CollectReport(sender string, report []reporter.Observation) {
-	if r.sharesObservations() {
+	if len(r.sharedKeys()) > 0 {
 		r.reporter.Collect(sender, report)
 	}
 }
 
 // ApplySummary passes the pooled observations of known searchers to the picker.
 func (r *Responder) ApplySummary(now time.Time, summary reporter.Summary) {
-	if !r.sharesObservations() {
-		return
-	}
-	keys := r.subsetFor(r.config.State()).keys
+	keys := r.sharedKeys()
 	for _, o := range summary.Searchers {
 		if key, ok := keys[o.Searcher]; ok {
 			r.picker.RecordShared(now, key, o, summary.TypicalServiceTime)
@@ -68,9 +68,14 @@
 	}
 }
 
+// isObserved reports whether the requests of this query are part of the next report.
+func (run *runner) isObserved() bool {
+	return run.call.route.IsScatterGather() && len(run.responder.sharedKeys()) > 0
+}
+
 // observeReply records a reply to a shard request for the next report.
 func (run *runner) observeReply(attempt *pendingAttempt, latency time.Duration) {
-	if run.call.route.IsScatterGather() {
+	if run.isObserved() {
 		key := attempt.searcher.Key()
 		run.responder.reporter.RecordAnswer(key, run.responder.picker.ServiceTimeSample(attempt.searcher, latency))
 	}
@@ -88,7 +93,7 @@
 // observeFailure records a shard request that was refused, or whose reply was lost or
 // unusable, for the next report.
 func (run *runner) observeFailure(attempt *pendingAttempt) {
-	if run.call.route.IsScatterGather() {
+	if run.isObserved() {
 		run.responder.reporter.RecordFailure(attempt.searcher.Key())
 	}
 }
--- a/internal/responder/observations_test.go
+++ b/internal/responder/observations_test.go
@@ -38,8 +38,7 @@
 		picker:   picker.New(picker.Config{Direct: true, Rand: rand.New(rand.NewPCG(1, 1))}),
 		config: Config{
 			State:       func() *follower.State { return state },
-			IsCollector: func() bool { return isCollector },
-			SendReport:  func([]reporter.Observation) {},
+			SendReport:  func([]reporter.Observation) bool { return isCollector },
 			SendSummary: func(s reporter.Summary) { sent = append(sent, s) },
 			Metrics:     NewMetrics(vm.NewSet()),
 		},
--- a/internal/responder/responder.go
+++ b/internal/responder/responder.go
@@ -75,12 +75,10 @@
 	// OnDisplaced is called with the key of a searcher when this daemon detects that
 	// its address now belongs to another process.
 	OnDisplaced func(key string)
-	// IsCollector reports whether this daemon pools the observations of its failure
-	// domain.
-	IsCollector func() bool
-	// SendReport sends observations to the collectors, and SendSummary sends pooled
-	// ones to the daemons of this failure domain.
-	SendReport  func([]reporter.Observation)
+	// SendReport sends observations to the other collectors of this failure domain and
+	// reports whether this daemon is one. SendSummary sends pooled observations to the
+	// other daemons of the failure domain.
+	SendReport  func([]reporter.Observation) (isCollector bool)
 	SendSummary func(reporter.Summary)
 	// Stopping reports whether the daemon is shutting down; responses then ask the
 	// callers to close their connections.
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -138,7 +138,6 @@
 		Stopping:  s.stopping.Load,
 
 		OnDisplaced:      s.follower.AnnounceDisplaced,
-		IsCollector:      s.follower.IsCollector,
 		SendReport:       s.follower.SendReport,
 		SendSummary:      s.follower.SendSummary,
 		DisabledPolicies: config.DisabledPolicies,
