Rate limits that searchers name are logged and counted

Change: the header is decoded in platform/; a daemon logs when a searcher names a limit and when it ends, and each second how many requests it sent to such searchers. Nothing acts on it yet.

--- a/internal/responder/metrics.go
+++ b/internal/responder/metrics.go
@@ -17,6 +17,10 @@
 	shardSeconds  *vm.Histogram
 	// sharedObservations counts the observations of other daemons that were applied.
 	sharedObservations *vm.Counter
+	// limitedSearchers is the number of searchers that name a rate limit, and
+	// limitedRequests counts the requests sent to them.
+	limitedSearchers *vm.Gauge
+	limitedRequests  *vm.Counter
 }
 
 // NewMetrics registers a responder's metrics in set.
@@ -31,6 +35,8 @@
 		shardSeconds:  set.NewHistogram("shardSeconds"),
 
 		sharedObservations: set.NewCounter("sharedObservationsTotal"),
+		limitedSearchers:   set.NewGauge("limitedSearchers", nil),
+		limitedRequests:    set.NewCounter("limitedSearcherRequestsTotal"),
 	}
 }
 
--- a/internal/responder/responder.go
+++ b/internal/responder/responder.go
@@ -22,6 +22,7 @@
 	"github.com/fuchsiastile/fuchsiastile/internal/exchanger"
 	"github.com/fuchsiastile/fuchsiastile/internal/follower"
 	"github.com/fuchsiastile/fuchsiastile/internal/hedger"
+	"github.com/fuchsiastile/fuchsiastile/internal/limiter"
 	"github.com/fuchsiastile/fuchsiastile/internal/picker"
 	"github.com/fuchsiastile/fuchsiastile/internal/planner"
 	"github.com/fuchsiastile/fuchsiastile/internal/reporter"
@@ -97,6 +98,7 @@
 	budget    *budgeter.Budgeter
 	exchanger *exchanger.Exchanger
 	reporter  *reporter.Reporter
+	limiter   *limiter.Limiter
 	// attempts is the last attempt ID. Attempt IDs are used only in this process.
 	attempts atomic.Uint64
 	// backendSequence is the number of the last request; the number selects the
@@ -140,6 +142,7 @@
 		budget:    budgeter.New(budgetConfig(config.Settings.Bounds), now, config.Settings.Bootstrap),
 		exchanger: exchanger.New(config.Network, config.Metrics.dials.Inc),
 		reporter:  reporter.New(),
+		limiter:   limiter.New(),
 		hedgers:   map[hedgerKey]*hedger.Hedger{},
 		started:   now,
 	}
@@ -169,6 +172,8 @@
 	keep := state.Fleet.Keys()
 	r.exchanger.Sweep(now, keep)
 	r.picker.Forget(now, keep)
+	r.limiter.Forget(keep)
+	r.reportRateLimits()
 	r.budget.Forget(func(service string) bool { return len(state.Fleet.Searchers(service)) > 0 })
 	r.preconnect(state)
 	r.config.Metrics.connections.Set(float64(r.exchanger.ConnectionCount()))
--- a/internal/responder/results.go
+++ b/internal/responder/results.go
@@ -62,7 +62,11 @@
 func (run *runner) handleReply(now time.Time, attempt *pendingAttempt, res result) (gatherer.Outcome, gatherer.Reason) {
 	p, key, m := run.responder.picker, attempt.searcher.Key(), run.responder.config.Metrics
 	latency := now.Sub(attempt.sentAt)
-	switch outcome := platform.ClassifyReply(res.reply.Status, res.reply.Header); outcome {
+	outcome := platform.ClassifyReply(res.reply.Status, res.reply.Header)
+	if outcome != platform.Displaced {
+		run.responder.recordRateLimit(now, key, res.reply.Header)
+	}
+	switch outcome {
 	case platform.Success:
 		p.RecordReply(now, key, latency, framer.Load{})
 		run.observeReply(attempt, latency)
--- a/internal/responder/runner.go
+++ b/internal/responder/runner.go
@@ -207,6 +207,7 @@
 	if send.Extra {
 		r.config.Metrics.extraRequests.Inc()
 	}
+	r.limiter.RecordSent(searcher.Key(), send.Extra)
 	now := time.Now()
 	ctx, cancel := context.WithDeadline(context.Background(), run.call.deadline)
 	run.pending[send.Attempt] = &pendingAttempt{searcher: searcher, shard: send.Shard, sentAt: now, cancel: cancel, extra: send.Extra}
