Failing test: searchers receive more requests than their rate limit

Change: emulated backend servers name a rate limit and record who received it; TestTierKeepsRateLimits checks the users' rule with six daemons.

--- a/internal/emulator/backend.go
+++ b/internal/emulator/backend.go
@@ -70,6 +70,7 @@
 	mu     sync.Mutex
 	faults BackendFaults
 	stats  BackendStats
+	limit  rateLimit
 }
 
 // StartBackend starts a backend server that listens on address. The Address of its
@@ -126,6 +127,9 @@
 func (b *Backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	request := platform.ParseSearcherRequest(r.Header)
 	faults := b.recordRequest(r, request)
+	if perSecond, limited := b.recordLimited(r); limited {
+		platform.WriteRateLimit(w.Header(), perSecond)
+	}
 	switch {
 	case request.ID == "":
 		platform.WriteNotRun(w.Header(), "")
