A query that ends as it starts sends nothing

Callers and searchers saw: a query for which too few shards had a searcher was refused at once, yet its requests to the other shards were still sent, and nobody cancelled them. Cause: the end of the query cancels all attempts, and the cancels were performed before the sends of the same event, which then started unknown to anybody. Class: actions of one event that contradict each other. Change: the gatherer takes back the sends of the event that ends the query and lists them as unsent, so that what the picker reserved is released. The answer is then truly 'not run'. Measured: TestNothingIsSentForAHopelessQuery fails before (2 sends) and passes now.

--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -170,6 +170,9 @@
 // query has ended.
 func (r *queryRunner) perform(actions gatherer.Actions) bool {
 	r.cancel(actions.Cancels)
+	for _, send := range actions.Unsent {
+		r.daemon.picker.Release(send.Searcher)
+	}
 	now := time.Now()
 	byGateway := map[string]*messenger.QueryBatch{}
 	for _, send := range actions.Sends {
--- a/internal/gatherer/direct_test.go
+++ b/internal/gatherer/direct_test.go
@@ -127,3 +127,27 @@
 		is.True(!q.Deliver(start, answeredReply(s)).Done)
 	}
 }
+
+// TestNothingIsSentForAHopelessQuery guards against requests to searchers for a query
+// that ends as it starts, because too few shards have a searcher: nobody would wait for
+// the replies or cancel the requests.
+func TestNothingIsSentForAHopelessQuery(t *testing.T) {
+	is := is.New(t)
+	c := directConfig(4, 3)
+	pick := c.Pick
+	c.Pick = func(candidates []planner.Searcher, excluded []string) (string, bool) {
+		if candidates[0].Address >= "2" {
+			return "", false
+		}
+		return pick(candidates, excluded)
+	}
+	q := gatherer.New(c)
+	actions := q.Start(start)
+	is.True(actions.Done)
+	is.Equal(len(actions.Sends), 0)
+	is.Equal(len(actions.Cancels), 0)
+	is.Equal(len(actions.Unsent), 2) // what was picked is released
+	answer := q.Answer()
+	is.Equal(answer.Sent, 0)
+	is.True(!answer.MayHaveRun)
+}
--- a/internal/gatherer/events.go
+++ b/internal/gatherer/events.go
@@ -87,6 +87,9 @@
 type Actions struct {
 	Sends   []Send
 	Cancels []uint64
+	// Unsent lists requests that must not be sent because the query has ended; what
+	// the Pick callback reserved for them is to be released.
+	Unsent []Send
 	// Done is true once the query has ended. No further actions are returned
 	// after it.
 	Done bool
--- a/internal/gatherer/finish.go
+++ b/internal/gatherer/finish.go
@@ -12,6 +12,7 @@
 	if !q.finished(now) {
 		return out
 	}
+	q.discardSends(&out)
 	for _, s := range q.shards {
 		q.cancelInFlight(s, &out)
 	}
@@ -20,6 +21,22 @@
 	return out
 }
 
+// discardSends moves the sends of the event that ends the query to Unsent: nobody waits
+// for their replies.
+func (q *Query) discardSends(out *Actions) {
+	for _, send := range out.Sends {
+		s := q.byAttempt[send.Attempt]
+		delete(q.byAttempt, send.Attempt)
+		s.removeAttempt(send.Attempt)
+		s.missing = ReasonNotSent
+		q.sent--
+		if send.Extra {
+			q.extra--
+		}
+	}
+	out.Unsent, out.Sends = out.Sends, nil
+}
+
 func (q *Query) finished(now time.Time) bool {
 	switch {
 	case q.answered == len(q.shards), !now.Before(q.config.Deadline):
--- a/internal/responder/runner.go
+++ b/internal/responder/runner.go
@@ -189,6 +189,9 @@
 	for _, id := range actions.Cancels {
 		run.cancel(id)
 	}
+	for _, send := range actions.Unsent {
+		run.responder.picker.Release(send.Searcher)
+	}
 	for _, send := range actions.Sends {
 		run.send(send)
 	}
