A restored store and reads that are ignored for it are logged

Change: the store's era is read, in platform.Position; the follower logs a new era and reads that are behind the content. Nothing acts on the era yet.

--- a/internal/fetcher/fetcher.go
+++ b/internal/fetcher/fetcher.go
@@ -11,21 +11,27 @@
 	"github.com/dghubble/sling"
 )
 
-// Do sends a request and returns the response's status code and body. The timeout
-// covers the whole exchange. At most maxBytes of the body are read; the rest is
-// discarded without an error.
-func Do(ctx context.Context, client *http.Client, builder *sling.Sling, timeout time.Duration, maxBytes int64) (int, []byte, error) {
+// Response is an HTTP response with its body.
+type Response struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// Do sends a request and returns the response. The timeout covers the whole exchange.
+// At most maxBytes of the body are read; the rest is discarded without an error.
+func Do(ctx context.Context, client *http.Client, builder *sling.Sling, timeout time.Duration, maxBytes int64) (Response, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	request, err := builder.Request()
 	if err != nil {
-		return 0, nil, err
+		return Response{}, err
 	}
 	response, err := client.Do(request.WithContext(ctx))
 	if err != nil {
-		return 0, nil, err
+		return Response{}, err
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxBytes))
-	return response.StatusCode, body, err
+	return Response{Status: response.StatusCode, Header: response.Header, Body: body}, err
 }
--- a/internal/follower/document.go
+++ b/internal/follower/document.go
@@ -38,8 +38,8 @@
 type document[T any] struct {
 	name string
 	// list and watch read the store; watch returns after the wait if nothing changes.
-	list  func(ctx context.Context) ([]platform.Entry[T], uint64, error)
-	watch func(ctx context.Context, after uint64, wait time.Duration) ([]platform.Entry[T], uint64, error)
+	list  func(ctx context.Context) ([]platform.Entry[T], platform.Position, error)
+	watch func(ctx context.Context, after uint64, wait time.Duration) ([]platform.Entry[T], platform.Position, error)
 	// onChange is called with each new content and the entries that it removed.
 	onChange func(now time.Time, entries, removed map[string]T)
 	// onConfirmed is called after each confirmation by the store, before onChange,
@@ -79,6 +79,10 @@
 	lastListAt time.Time
 	// storeUnreachable is set while reads of the store fail.
 	storeUnreachable bool
+	// era is the store's era at the last read, and storeBehind whether that read returned
+	// an older revision than generation.
+	era         uint64
+	storeBehind bool
 }
 
 func newDocument[T any](name string, config refresher.Config, collection platform.Collection[T]) *document[T] {
@@ -107,12 +111,12 @@
 	after, wait := d.generation, d.refresh.WatchTimeout()
 	d.mu.Unlock()
 	var entries []platform.Entry[T]
-	var revision uint64
+	var position platform.Position
 	var err error
 	if isList {
-		entries, revision, err = d.list(ctx)
+		entries, position, err = d.list(ctx)
 	} else {
-		entries, revision, err = d.watch(ctx, after, wait)
+		entries, position, err = d.watch(ctx, after, wait)
 	}
 	if ctx.Err() != nil {
 		return false
@@ -122,7 +126,8 @@
 		return false
 	}
 	d.updateReachability(nil)
-	d.applyRead(entries, revision, isList)
+	d.reportPosition(position)
+	d.applyRead(entries, position.Revision, isList)
 	return true
 }
 
@@ -155,6 +160,22 @@
 	}
 }
 
+// reportPosition logs that the store was restored from an older copy, and reads that
+// return an older revision than the content's.
+func (d *document[T]) reportPosition(position platform.Position) {
+	d.mu.Lock()
+	era, generation, wasBehind := d.era, d.generation, d.storeBehind
+	d.era, d.storeBehind = position.Era, position.Revision < generation
+	isBehind := d.storeBehind
+	d.mu.Unlock()
+	if era != 0 && position.Era != era {
+		klog.InfoS("store was restored from an older copy", "document", d.name, "era", position.Era, "revision", position.Revision, "known", generation)
+	}
+	if isBehind != wasBehind {
+		klog.InfoS("store's revision compared with the content's", "document", d.name, "era", position.Era, "revision", position.Revision, "known", generation, "behind", isBehind)
+	}
+}
+
 // ageMillis returns the milliseconds since a time, or -1 if that time is zero.
 func ageMillis(now, since time.Time) int64 {
 	if since.IsZero() {
--- a/internal/follower/document_test.go
+++ b/internal/follower/document_test.go
@@ -21,12 +21,12 @@
 	t.Helper()
 	newEmpty := func() *document[string] {
 		d := newDocument("servers", refresher.Config{Bound: time.Second, Rand: rand.New(rand.NewPCG(1, 1))}, platform.Collection[string]{})
-		d.list = func(context.Context) ([]platform.Entry[string], uint64, error) {
+		d.list = func(context.Context) ([]platform.Entry[string], platform.Position, error) {
 			var out []platform.Entry[string]
 			for n := range entries {
 				out = append(out, platform.Entry[string]{Name: fmt.Sprint("server-", n), Value: fmt.Sprint("192.0.2.", n)})
 			}
-			return out, 7, nil
+			return out, platform.Position{Revision: 7}, nil
 		}
 		d.onChange = func(time.Time, map[string]string, map[string]string) {}
 		d.onConfirmed = func(time.Time, time.Time) {}
--- a/internal/follower/state_test.go
+++ b/internal/follower/state_test.go
@@ -29,12 +29,12 @@
 	content := map[string]planner.Server{"left": server("left"), "stays": server("stays")}
 	f := &Follower{ready: make(chan struct{}), config: Config{OnChange: func(*State) {}}}
 	f.servers = newDocument(documentServers, refresher.Config{Bound: time.Second, Rand: rand.New(rand.NewPCG(1, 1))}, platform.Collection[planner.Server]{})
-	f.servers.list = func(context.Context) ([]platform.Entry[planner.Server], uint64, error) {
+	f.servers.list = func(context.Context) ([]platform.Entry[planner.Server], platform.Position, error) {
 		var out []platform.Entry[planner.Server]
 		for name, s := range content {
 			out = append(out, platform.Entry[planner.Server]{Name: name, Value: s})
 		}
-		return out, uint64(10 - len(content)), nil
+		return out, platform.Position{Revision: uint64(10 - len(content))}, nil
 	}
 	f.servers.onChange = func(time.Time, map[string]planner.Server, map[string]planner.Server) {}
 	f.servers.onConfirmed = func(time.Time, time.Time) {}
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -99,20 +99,20 @@
 // call sends a request, maps its status to an error and decodes the response into
 // out.
 func (c *Client) call(ctx context.Context, op string, s *sling.Sling, timeout time.Duration, out any) error {
-	status, body, err := fetcher.Do(ctx, c.http, s, timeout, maxResponseBytes)
+	response, err := fetcher.Do(ctx, c.http, s, timeout, maxResponseBytes)
 	if err != nil {
 		return failer.Wrap(op, KindPlatformUnavailable, err)
 	}
-	switch status {
+	switch response.Status {
 	case http.StatusOK:
 	case http.StatusConflict:
 		return failer.New(op, KindConflict, "object does not have the expected version")
 	case http.StatusNotFound:
 		return failer.New(op, KindNotFound, "object does not exist")
 	default:
-		return failer.Wrap(op, KindPlatformUnavailable, fmt.Errorf("status %d", status))
+		return failer.Wrap(op, KindPlatformUnavailable, fmt.Errorf("status %d", response.Status))
 	}
-	if err := json.Unmarshal(body, out); err != nil {
+	if err := json.Unmarshal(response.Body, out); err != nil {
 		return failer.Wrap(op, KindPlatformUnavailable, err)
 	}
 	return nil
