--- a/internal/emulator/store.go
+++ b/internal/emulator/store.go
@@ -31,6 +31,8 @@
 	revision uint64
 	objects  map[string]map[string]platform.Object
 	history  []storeEvent
+	// era is named in every reply and rises with each Restore.
+	era uint64
 	// oldestRevision is the revision after which history is complete.
 	oldestRevision uint64
 	changed        chan struct{}
@@ -51,7 +53,7 @@
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{revision: 1, oldestRevision: 1, objects: map[string]map[string]platform.Object{}, changed: make(chan struct{}), calls: map[string]int{}}
+	return &Store{era: 1, revision: 1, oldestRevision: 1, objects: map[string]map[string]platform.Object{}, changed: make(chan struct{}), calls: map[string]int{}}
 }
 
 // Put creates or updates an object. An unchanged specification creates no revision.
@@ -103,6 +105,40 @@
 	s.changed = make(chan struct{})
 }
 
+// StoreCopy is a copy of a store's content at one revision.
+type StoreCopy struct {
+	revision uint64
+	objects  map[string]map[string]platform.Object
+}
+
+// Copy returns a copy of the content.
+func (s *Store) Copy() StoreCopy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := StoreCopy{revision: s.revision, objects: map[string]map[string]platform.Object{}}
+	for kind, objects := range s.objects {
+		out.objects[kind] = maps.Clone(objects)
+	}
+	return out
+}
+
+// Restore replaces the content with an earlier copy: the revision goes back, the history
+// is gone, pending watches are aborted and the next era begins.
+func (s *Store) Restore(c StoreCopy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.objects = map[string]map[string]platform.Object{}
+	for kind, objects := range c.objects {
+		s.objects[kind] = maps.Clone(objects)
+	}
+	s.era++
+	s.revision, s.oldestRevision = c.revision, c.revision
+	s.history = nil
+	s.compactions++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 // SetFaults replaces the active faults.
 func (s *Store) SetFaults(f StoreFaults) {
 	s.mu.Lock()
@@ -144,11 +180,13 @@
 		return
 	}
 	var body []byte
+	var era uint64
 	if call.IsWatch {
-		body, err = s.watch(r, call, remote)
+		body, era, err = s.watch(r, call, remote)
 	} else {
-		body, err = s.list(call)
+		body, era, err = s.list(call)
 	}
+	platform.WriteStoreEra(w.Header(), era)
 	switch {
 	case err != nil:
 		http.Error(w, err.Error(), http.StatusInternalServerError)
@@ -169,7 +207,8 @@
 	return s.faults
 }
 
-func (s *Store) list(call platform.StoreCall) ([]byte, error) {
+// list returns one page and the era that it is from.
+func (s *Store) list(call platform.StoreCall) (body []byte, era uint64, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	names := slices.Sorted(maps.Keys(s.objects[call.Kind]))
@@ -179,16 +218,19 @@
 			continue
 		}
 		if len(out) == pageSize {
-			return platform.EncodeList(out, true, s.revision)
+			body, err = platform.EncodeList(out, true, s.revision)
+			return body, s.era, err
 		}
 		out = append(out, s.objects[call.Kind][name])
 	}
-	return platform.EncodeList(out, false, s.revision)
+	body, err = platform.EncodeList(out, false, s.revision)
+	return body, s.era, err
 }
 
 // watch returns the changes after the revision of a call, waiting for the first one for
-// at most call.Wait. It returns nil if the revision precedes the retained history.
-func (s *Store) watch(r *http.Request, call platform.StoreCall, remote string) ([]byte, error) {
+// at most call.Wait. It returns nil if the revision precedes the retained history or has
+// not been reached since a Restore.
+func (s *Store) watch(r *http.Request, call platform.StoreCall, remote string) (body []byte, era uint64, err error) {
 	timer := time.NewTimer(call.Wait)
 	defer timer.Stop()
 	s.mu.Lock()
@@ -201,9 +243,10 @@
 			s.mu.Unlock()
 			panic(http.ErrAbortHandler)
 		}
-		if call.Revision < s.oldestRevision {
+		if call.Revision < s.oldestRevision || call.Revision > s.revision {
+			era = s.era
 			s.mu.Unlock()
-			return nil, nil
+			return nil, era, nil
 		}
 		var changes []platform.Change
 		for _, e := range s.history {
@@ -211,17 +254,18 @@
 				changes = append(changes, e.change)
 			}
 		}
-		changed, asOf := s.changed, s.revision
+		changed, asOf, era := s.changed, s.revision, s.era
 		s.mu.Unlock()
 		if len(changes) > 0 || expired {
-			return platform.EncodeChanges(changes, asOf)
+			body, err = platform.EncodeChanges(changes, asOf)
+			return body, era, err
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
 			expired = true
 		case <-r.Context().Done():
-			return nil, r.Context().Err()
+			return nil, era, r.Context().Err()
 		}
 	}
 }
