Content of a restored store is ordered by era and version, not by revision alone

Callers saw: for seconds after a restore a change that the store had acknowledged was not in force (CONFIG), and requests on routes that it added got 404 (DENIED). Cause: contents were ordered by revision, which goes back when the store is restored from an older copy; reads were ignored until the revisions had caught up, and the watch then went on from a revision whose meaning had changed. Heads of daemons told each other the same wrong order. Class: an order that the other side can reset. Change: a position is an era and a revision; a watch that comes back in another era is followed by a list; heads and fetched documents carry the era. A configuration is ordered by its version first, which its writer only raises: content of a lower version only moves the position, and peers fetch the higher one from whoever has it, in whichever era. Why it works: the new era's reads are newer for everybody, and the version that the store has lost stays in force and spreads until it is written again.

--- a/internal/follower/document.go
+++ b/internal/follower/document.go
@@ -45,6 +45,13 @@
 	// onConfirmed is called after each confirmation by the store, before onChange,
 	// with the time of the previous one, so that the end of an outage is detected.
 	onConfirmed func(now time.Time, previous time.Time)
+	// onRestored is called when the content is found to be of a later era than before, so
+	// that the store has lost changes, before onConfirmed and onChange.
+	onRestored func(now time.Time)
+	// versionOf returns the version of a content that its writer raises with each change;
+	// zero if the document has none. Content of a lower version is never installed: the
+	// store has lost the higher one, and its writer writes it again.
+	versionOf func(entries map[string]T) uint64
 
 	// compressMu is held while the content is compressed, so that concurrent fetches
 	// share one compression; compressCount is the number of compressions.
@@ -55,12 +62,14 @@
 	refresh *refresher.Refresher
 	// entries is replaced on every change and never modified in place.
 	entries map[string]T
-	// generation is the store revision at which entries were last listed or changed,
-	// and from which watches continue; zero while there is no content. A watch without
+	// position is where in the store's history entries were last listed or changed, and
+	// from which watches continue; zero while there is no content. A watch without
 	// a change does not advance it: a store that truncates its history may have
 	// omitted changes from that watch, so that two different contents would share a
-	// generation and the next watch would not detect the missing history.
-	generation uint64
+	// position and the next watch would not detect the missing history.
+	position platform.Position
+	// version is versionOf of entries.
+	version uint64
 	// digest identifies the content; daemons with the same digest have the same
 	// entries.
 	digest string
@@ -79,17 +88,19 @@
 	lastListAt time.Time
 	// storeUnreachable is set while reads of the store fail.
 	storeUnreachable bool
-	// era is the store's era at the last read, and storeBehind whether that read returned
-	// an older revision than generation.
-	era         uint64
-	storeBehind bool
 }
 
 func newDocument[T any](name string, config refresher.Config, collection platform.Collection[T]) *document[T] {
 	return &document[T]{
-		name:    name,
-		list:    collection.List,
-		watch:   collection.Watch,
+		name:  name,
+		list:  collection.List,
+		watch: collection.Watch,
+
+		onChange:    func(time.Time, map[string]T, map[string]T) {},
+		onConfirmed: func(time.Time, time.Time) {},
+		onRestored:  func(time.Time) {},
+		versionOf:   func(map[string]T) uint64 { return 0 },
+
 		refresh: refresher.New(config, time.Now()),
 		entries: map[string]T{},
 	}
@@ -107,8 +118,8 @@
 // read lists or watches the store once and reports whether that succeeded.
 func (d *document[T]) read(ctx context.Context) bool {
 	d.mu.Lock()
-	isList := d.generation == 0 || d.needsList || time.Since(d.lastListAt) >= relistInterval
-	after, wait := d.generation, d.refresh.WatchTimeout()
+	isList := d.position.Revision == 0 || d.needsList || time.Since(d.lastListAt) >= relistInterval
+	after, wait := d.position, d.refresh.WatchTimeout()
 	d.mu.Unlock()
 	var entries []platform.Entry[T]
 	var position platform.Position
@@ -116,7 +127,10 @@
 	if isList {
 		entries, position, err = d.list(ctx)
 	} else {
-		entries, position, err = d.watch(ctx, after, wait)
+		entries, position, err = d.watch(ctx, after.Revision, wait)
+		if err == nil && position.Era != after.Era {
+			err = failer.New("watch "+d.name, platform.KindHistoryGone, "the store was restored, its era is %d and was %d", position.Era, after.Era)
+		}
 	}
 	if ctx.Err() != nil {
 		return false
@@ -126,8 +140,7 @@
 		return false
 	}
 	d.updateReachability(nil)
-	d.reportPosition(position)
-	d.applyRead(entries, position.Revision, isList)
+	d.applyRead(entries, position, isList)
 	return true
 }
 
@@ -160,22 +173,6 @@
 	}
 }
 
-// reportPosition logs that the store was restored from an older copy, and reads that
-// return an older revision than the content's.
-func (d *document[T]) reportPosition(position platform.Position) {
-	d.mu.Lock()
-	era, generation, wasBehind := d.era, d.generation, d.storeBehind
-	d.era, d.storeBehind = position.Era, position.Revision < generation
-	isBehind := d.storeBehind
-	d.mu.Unlock()
-	if era != 0 && position.Era != era {
-		klog.InfoS("store was restored from an older copy", "document", d.name, "era", position.Era, "revision", position.Revision, "known", generation)
-	}
-	if isBehind != wasBehind {
-		klog.InfoS("store's revision compared with the content's", "document", d.name, "era", position.Era, "revision", position.Revision, "known", generation, "behind", isBehind)
-	}
-}
-
 // ageMillis returns the milliseconds since a time, or -1 if that time is zero.
 func ageMillis(now, since time.Time) int64 {
 	if since.IsZero() {
@@ -186,11 +183,11 @@
 
 // applyRead installs the result of a list, or applies the changes of a watch to the
 // current content.
-func (d *document[T]) applyRead(entries []platform.Entry[T], revision uint64, isList bool) {
+func (d *document[T]) applyRead(entries []platform.Entry[T], position platform.Position, isList bool) {
 	now := time.Now()
 	next := map[string]T{}
 	d.mu.Lock()
-	if revision < d.generation {
+	if position.Before(d.position) {
 		// Newer content arrived from a peer during the read.
 		d.refresh.RecordRead(now)
 		d.mu.Unlock()
@@ -228,30 +225,31 @@
 			return
 		}
 	}
-	d.install(now, contentVersion[T]{confirmedAt: now, entries: next, encoded: encoded, revision: revision}, source)
+	d.install(now, contentVersion[T]{confirmedAt: now, entries: next, encoded: encoded, position: position}, source)
 }
 
-// contentVersion is the content of a document at one revision.
+// contentVersion is the content of a document at one position of the store's history.
 type contentVersion[T any] struct {
-	// confirmedAt is when the store returned this content, and revision the revision
+	// confirmedAt is when the store returned this content, and position the position
 	// that it returned with it.
 	confirmedAt time.Time
-	revision    uint64
+	position    platform.Position
 	entries     map[string]T
 	// encoded is the JSON of entries as the daemon that read the store encoded it;
 	// compressed is encoded after compression, nil if it is not compressed yet.
 	encoded, compressed []byte
 }
 
-// install replaces the content unless a newer revision is already installed. After an
-// empty watch it only records the confirmation.
+// install replaces the content unless a newer one is already installed. After an empty
+// watch it only records the confirmation.
 func (d *document[T]) install(now time.Time, next contentVersion[T], source contentSource) {
 	var digest string
+	version := d.versionOf(next.entries)
 	if source != sourceEmptyWatch {
 		digest = configurator.Digest(next.encoded)[:digestPrefixLength]
 	}
 	d.mu.Lock()
-	if next.revision < d.generation {
+	if source == sourcePeer && !d.isNewer(version, next.position) || source != sourcePeer && next.position.Before(d.position) {
 		d.mu.Unlock()
 		return
 	}
@@ -264,11 +262,15 @@
 	case sourceWatch, sourceEmptyWatch:
 		d.refresh.RecordRead(now)
 	case sourcePeer:
-		// This daemon cannot watch from a revision that it did not read itself.
+		// This daemon cannot watch from a position that it did not read itself.
 		d.needsList = true
 	}
 	d.refresh.RecordPeerConfirmation(next.confirmedAt)
-	changed := source != sourceEmptyWatch && digest != d.digest
+	isLost := source != sourceEmptyWatch && version < d.version
+	if isLost {
+		klog.InfoS("keeping content that the store has lost", "document", d.name, "version", d.version, "stored", version)
+	}
+	changed := source != sourceEmptyWatch && !isLost && digest != d.digest
 	removed := map[string]T{}
 	if changed {
 		for name, value := range d.entries {
@@ -276,14 +278,37 @@
 				removed[name] = value
 			}
 		}
-		d.entries, d.encoded, d.compressed, d.digest = next.entries, next.encoded, next.compressed, digest
-	}
-	if source != sourceEmptyWatch {
-		d.generation = next.revision
+		d.entries, d.encoded, d.compressed, d.digest, d.version = next.entries, next.encoded, next.compressed, digest, version
 	}
+	restored := source != sourceEmptyWatch && d.advance(next.position)
 	d.mu.Unlock()
+	if restored {
+		d.onRestored(now)
+	}
 	d.onConfirmed(now, before)
 	if changed {
 		d.onChange(now, next.entries, removed)
 	}
 }
+
+// isNewer reports whether content of a version and position replaces the installed one
+// when a peer has it. The version decides, since a store that was restored may have lost
+// the highest. The caller holds mu.
+func (d *document[T]) isNewer(version uint64, position platform.Position) bool {
+	return version > d.version || version == d.version && !position.Before(d.position)
+}
+
+// advance moves the position forward and reports whether it reaches a later era. The
+// caller holds mu.
+func (d *document[T]) advance(to platform.Position) (restored bool) {
+	from := d.position
+	if !from.Before(to) {
+		return false
+	}
+	d.position = to
+	restored = from.Revision != 0 && to.Era != from.Era
+	if restored {
+		klog.InfoS("store was restored from an older copy", "document", d.name, "era", to.Era, "revision", to.Revision, "known", from.Revision)
+	}
+	return restored
+}
--- a/internal/follower/document_peers.go
+++ b/internal/follower/document_peers.go
@@ -8,19 +8,22 @@
 
 	"github.com/fuchsiastile/fuchsiastile/internal/messenger"
 	"github.com/fuchsiastile/fuchsiastile/internal/packer"
+	"github.com/fuchsiastile/fuchsiastile/platform"
 )
 
-// head returns the generation, digest and age of the content, as sent to peers; nil
+// head returns the position, version, digest and age of the content, as sent to peers; nil
 // if there is no content yet.
 func (d *document[T]) head(now time.Time) *messenger.Head {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.generation == 0 {
+	if d.position.Revision == 0 {
 		return nil
 	}
 	return &messenger.Head{
 		Document:   d.name,
-		Generation: d.generation,
+		Era:        d.position.Era,
+		Generation: d.position.Revision,
+		Version:    d.version,
 		Digest:     d.digest,
 		AgeMillis:  uint32(max(0, ageMillis(now, d.refresh.ConfirmedAt()))),
 	}
@@ -35,6 +38,26 @@
 	otherDomain bool
 }
 
+// positionOf returns the position of a head.
+func positionOf(head *messenger.Head) platform.Position {
+	return platform.Position{Era: head.GetEra(), Revision: head.GetGeneration()}
+}
+
+// isBehind reports whether a head is of newer content than the installed one. Daemons of
+// an earlier release send no version. The caller holds mu.
+func (d *document[T]) isBehind(head *messenger.Head) bool {
+	version := head.GetVersion()
+	if version == 0 {
+		version = d.version
+	}
+	return version > d.version || version == d.version && d.position.Before(positionOf(head))
+}
+
+// isOlder reports whether head a is of older content than head b.
+func isOlder(a, b *messenger.Head) bool {
+	return a.GetVersion() < b.GetVersion() || a.GetVersion() == b.GetVersion() && positionOf(a).Before(positionOf(b))
+}
+
 // handlePeerHead compares a peer's head with the content. same means that both
 // daemons have the same content, behind that the peer's is newer and that the caller
 // has to fetch it. A head received during a fetch is kept for resolvePendingHead.
@@ -45,20 +68,23 @@
 	if head.GetDigest() == d.digest {
 		before := d.refresh.ConfirmedAt()
 		d.refresh.RecordPeerConfirmation(confirmed)
-		d.generation = max(d.generation, head.GetGeneration())
+		restored := d.advance(positionOf(head))
 		d.mu.Unlock()
+		if restored {
+			d.onRestored(now)
+		}
 		d.onConfirmed(now, before)
 		return true, false
 	}
 	defer d.mu.Unlock()
-	if head.GetGeneration() <= d.generation {
+	if !d.isBehind(head) {
 		return false, false
 	}
 	if d.fetching {
 		if d.pendingHead != nil {
 			received.otherDomain = received.otherDomain || d.pendingHead.otherDomain
 		}
-		if d.pendingHead == nil || head.GetGeneration() >= d.pendingHead.head.GetGeneration() {
+		if d.pendingHead == nil || !isOlder(head, d.pendingHead.head) {
 			d.pendingHead = &received
 		} else {
 			d.pendingHead.otherDomain = received.otherDomain
@@ -80,7 +106,7 @@
 	switch {
 	case pendingHead == nil:
 		return nil, false
-	case pendingHead.head.GetGeneration() > d.generation:
+	case d.isBehind(pendingHead.head):
 		return pendingHead, false
 	default:
 		return nil, pendingHead.otherDomain
@@ -111,7 +137,8 @@
 	// The compressed bytes are kept and served to other peers unchanged: on a small VM
 	// it takes seconds to compress a long list for each of a hundred daemons.
 	d.install(now, contentVersion[T]{
-		confirmedAt: now.Add(-age), entries: next, encoded: encoded, compressed: reply.GetContent(), revision: reply.GetGeneration(),
+		confirmedAt: now.Add(-age), entries: next, encoded: encoded, compressed: reply.GetContent(),
+		position: platform.Position{Era: reply.GetEra(), Revision: reply.GetGeneration()},
 	}, sourcePeer)
 	return true
 }
@@ -119,7 +146,7 @@
 // reply returns the compressed content for a peer.
 func (d *document[T]) reply() (*messenger.FetchReply, error) {
 	d.mu.Lock()
-	out := &messenger.FetchReply{Document: d.name, Generation: d.generation, Digest: d.digest}
+	out := &messenger.FetchReply{Document: d.name, Era: d.position.Era, Generation: d.position.Revision, Digest: d.digest}
 	if confirmed := d.refresh.ConfirmedAt(); !confirmed.IsZero() {
 		out.AgeMillis = uint32(max(0, time.Since(confirmed).Milliseconds()))
 	}
--- a/internal/follower/document_test.go
+++ b/internal/follower/document_test.go
@@ -71,7 +71,7 @@
 	is.Equal(len(forwarder.entries), 1200)
 
 	// Changed content is compressed again.
-	reader.applyRead([]platform.Entry[string]{{Name: "server-0", Deleted: true}}, 8, false)
+	reader.applyRead([]platform.Entry[string]{{Name: "server-0", Deleted: true}}, platform.Position{Revision: 8}, false)
 	changed, err := reader.reply()
 	is.NoErr(err)
 	is.True(changed.GetDigest() != reply.GetDigest())
@@ -108,13 +108,13 @@
 
 	// During the next fetch, a newer head arrives from another domain, then an older
 	// local one.
-	reader.applyRead([]platform.Entry[string]{{Name: "a", Value: "1"}}, 8, false)
+	reader.applyRead([]platform.Entry[string]{{Name: "a", Value: "1"}}, platform.Position{Revision: 8}, false)
 	older := reader.head(now)
 	_, behind = forwarder.handlePeerHead(now, peerHead{from: "local", head: older})
 	is.True(behind)
 	oldReply, err := reader.reply()
 	is.NoErr(err)
-	reader.applyRead([]platform.Entry[string]{{Name: "b", Value: "2"}}, 9, false)
+	reader.applyRead([]platform.Entry[string]{{Name: "b", Value: "2"}}, platform.Position{Revision: 9}, false)
 	forwarder.handlePeerHead(now, peerHead{from: "remote", head: reader.head(now), otherDomain: true})
 	forwarder.handlePeerHead(now, peerHead{from: "local", head: older})
 	is.True(forwarder.handleFetchReply(now, oldReply, 0))
@@ -125,3 +125,56 @@
 	_, behind = forwarder.handlePeerHead(now, *next)
 	is.True(behind)
 }
+
+// TestVersionsAndErasOrderContent guards against content that is ignored because the
+// revisions of a restored store are lower, against an older version that replaces the one
+// that the store has lost, and against daemons that cannot agree on one content then.
+func TestVersionsAndErasOrderContent(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	newConfiguration := func() *document[uint64] {
+		d := newDocument("configuration", refresher.Config{Bound: time.Second, Rand: rand.New(rand.NewPCG(1, 1))}, platform.Collection[uint64]{})
+		d.versionOf = func(entries map[string]uint64) uint64 { return entries["main"] }
+		return d
+	}
+	stored := func(version uint64) []platform.Entry[uint64] {
+		return []platform.Entry[uint64]{{Name: "main", Value: version}}
+	}
+	at := func(era, revision uint64) platform.Position { return platform.Position{Era: era, Revision: revision} }
+	fetch := func(from, to *document[uint64]) (same, behind bool) {
+		now := time.Now()
+		same, behind = to.handlePeerHead(now, peerHead{from: "peer", head: from.head(now)})
+		if behind {
+			reply, err := from.reply()
+			is.NoErr(err)
+			is.True(to.handleFetchReply(now, reply, 0))
+		}
+		return same, behind
+	}
+	cutOff, running, started := newConfiguration(), newConfiguration(), newConfiguration()
+	cutOff.applyRead(stored(9), at(1, 100), true)
+	running.applyRead(stored(9), at(1, 100), true)
+
+	// The restored store has version 8 at a lower revision.
+	running.applyRead(stored(8), at(2, 60), true)
+	is.Equal(running.version, uint64(9))
+	is.Equal(running.position, at(2, 60))
+	started.applyRead(stored(8), at(2, 60), true)
+	_, behind := fetch(started, running)
+	is.True(!behind)
+	_, behind = fetch(started, cutOff)
+	is.True(!behind)
+	_, behind = fetch(cutOff, started) // of an earlier era, but the higher version
+	is.True(behind)
+	is.Equal(started.version, uint64(9))
+	is.Equal(started.position, at(2, 60))
+	same, _ := fetch(running, started)
+	is.True(same)
+
+	// The next change has a revision that was given out before.
+	running.applyRead(stored(10), at(2, 70), false)
+	_, behind = fetch(running, cutOff)
+	is.True(behind)
+	is.Equal(cutOff.version, uint64(10))
+	is.Equal(cutOff.position, at(2, 70))
+}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -194,7 +194,7 @@
 	}
 	f.configurations = newDocument(documentConfiguration, refreshConfig, platform.Configurations(f.store))
 	f.configurations.onChange = f.configurationChanged
-	f.configurations.onConfirmed = func(time.Time, time.Time) {}
+	f.configurations.versionOf = configurationVersion
 	refreshConfig.Bound = s.Bounds.DrainNotice
 	f.servers = newDocument(documentServers, refreshConfig, platform.Servers(f.store))
 	f.servers.onChange = f.serversChanged
--- a/internal/follower/state.go
+++ b/internal/follower/state.go
@@ -14,6 +14,15 @@
 // this time.
 const peakWindow = 45 * time.Second
 
+// configurationVersion returns the highest version of a document's configurations.
+func configurationVersion(entries map[string]planner.Configuration) uint64 {
+	highest := uint64(0)
+	for _, c := range entries {
+		highest = max(highest, c.Version)
+	}
+	return highest
+}
+
 // configurationChanged compiles and publishes a configuration that is newer than the
 // one in force.
 func (f *Follower) configurationChanged(now time.Time, entries, _ map[string]planner.Configuration) {
@@ -71,7 +80,7 @@
 	// another would publish an older fleet.
 	f.servers.mu.Lock()
 	entries := f.servers.entries
-	generation := f.servers.generation
+	position := f.servers.position
 	f.servers.mu.Unlock()
 	retained := f.expired.Retained(now)
 	list := make([]planner.Server, 0, len(entries)+len(retained))
@@ -87,7 +96,7 @@
 	}
 	next := *f.state.Load()
 	next.Fleet = planner.NewFleet(list, f.config.Settings.Regions)
-	klog.InfoS("servers changed", "revision", generation, "ready", next.Fleet.Size(), "draining", draining, "heldAfterOutage", len(retained))
+	klog.InfoS("servers changed", "era", position.Era, "revision", position.Revision, "ready", next.Fleet.Size(), "draining", draining, "heldAfterOutage", len(retained))
 	f.publish(&next)
 }
 
