Searchers that had left stay out of use when the store is restored; new ones stay in use

Callers saw, once a restored store's list was used: requests to searchers that drained or had left in the seconds that the store has lost (DRAIN, failed connections), and 503 while searchers that registered in those seconds were missing. Cause: the restored list was taken as the present. Class: a copy of the past read as news. Change: the follower remembers for a minute which servers drained or left; for three heartbeats and the time to register again after a restore they are hidden unless the list names a new process. Registrations that the store has lost are retained as after an outage, also when it was away too shortly to notice. Daemons that fetch the servers meanwhile are told what is hidden. Why it works: within that time a living server has written itself again, and the entry of one that has gone has expired.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -139,6 +139,8 @@
 	// mu serializes the building of new states.
 	mu      sync.Mutex
 	expired refresher.ExpiredEntries[planner.Server]
+	// departures holds servers by their keys.
+	departures refresher.Departures
 	// retainUntil is when the fleet is due to be rebuilt without expired servers.
 	retainUntil time.Time
 	// peakDaemons is the maximum of live daemons within peakWindow, and peakAt the last
@@ -199,6 +201,7 @@
 	f.servers = newDocument(documentServers, refreshConfig, platform.Servers(f.store))
 	f.servers.onChange = f.serversChanged
 	f.servers.onConfirmed = f.storeConfirmed
+	f.servers.onRestored = f.storeRestored
 	return f, nil
 }
 
@@ -348,7 +351,7 @@
 	case documentConfiguration:
 		return p.follower.addSharedState(p.follower.configurations.reply())
 	case documentServers:
-		return p.follower.addSharedState(p.follower.servers.reply())
+		return p.follower.addSharedState(p.follower.addHidden(p.follower.servers.reply()))
 	default:
 		return nil, failer.Wrap("fetch "+r.GetDocument(), KindUnknownDocument, errors.New("unknown document name"))
 	}
--- a/internal/follower/gossip.go
+++ b/internal/follower/gossip.go
@@ -153,5 +153,6 @@
 	}
 	now := time.Now()
 	f.handleSharedState(now, reply)
+	f.handleHidden(now, reply)
 	return handle(now, reply, time.Duration(reply.GetAgeMillis())*time.Millisecond+now.Sub(sentAt))
 }
--- a/internal/follower/state.go
+++ b/internal/follower/state.go
@@ -52,12 +52,30 @@
 	}
 }
 
+// registrationHeartbeats is the number of heartbeats after which the store removes a
+// registration that is not renewed.
+const registrationHeartbeats = 3
+
+// storeRestored prepares for the first list of a store that was restored from an older
+// copy: registrations that it has lost are retained until they are written again, and
+// servers that had left are hidden until their old entries have expired.
+func (f *Follower) storeRestored(now time.Time) {
+	f.mu.Lock()
+	f.expired.RecordRestore(now)
+	f.departures.RecordRestore(now, registrationHeartbeats*f.config.Settings.Bounds.HeartbeatInterval)
+	until := f.departures.HiddenUntil()
+	f.mu.Unlock()
+	f.config.Scheduler.At(until, f.rebuildFleet)
+}
+
 // serversChanged rebuilds the fleet. Servers that may have expired during an outage
 // of the store are retained until they have had time to register again.
 func (f *Follower) serversChanged(now time.Time, entries, removed map[string]planner.Server) {
 	f.mu.Lock()
 	for name, s := range removed {
-		f.expired.RecordRemoval(now, name, s)
+		if retained := f.expired.RecordRemoval(now, name, s); !retained {
+			f.departures.RecordDeparture(now, s.Key())
+		}
 	}
 	for name := range entries {
 		f.expired.RecordReregistration(name)
@@ -84,19 +102,28 @@
 	f.servers.mu.Unlock()
 	retained := f.expired.Retained(now)
 	list := make([]planner.Server, 0, len(entries)+len(retained))
-	draining := 0
+	draining, hidden := 0, 0
 	for _, s := range entries {
-		list = append(list, s)
-		if s.Draining {
+		switch {
+		case s.Draining:
 			draining++
+			f.departures.RecordDeparture(now, s.Key())
+		case f.departures.IsHidden(now, s.Key()):
+			hidden++
+			continue
+		default:
+			f.departures.RecordPresence(now, s.Key())
 		}
+		list = append(list, s)
 	}
 	for _, s := range retained {
-		list = append(list, s)
+		if !f.departures.IsHidden(now, s.Key()) {
+			list = append(list, s)
+		}
 	}
 	next := *f.state.Load()
 	next.Fleet = planner.NewFleet(list, f.config.Settings.Regions)
-	klog.InfoS("servers changed", "era", position.Era, "revision", position.Revision, "ready", next.Fleet.Size(), "draining", draining, "heldAfterOutage", len(retained))
+	klog.InfoS("servers changed", "era", position.Era, "revision", position.Revision, "ready", next.Fleet.Size(), "draining", draining, "heldAfterOutage", len(retained), "hiddenAfterRestore", hidden)
 	f.publish(&next)
 }
 
--- a/internal/planner/fleet.go
+++ b/internal/planner/fleet.go
@@ -27,6 +27,11 @@
 	WarmUp time.Duration `json:"warmUp"`
 }
 
+// Key identifies the server's process; it is the Key of its Searcher.
+func (s Server) Key() string {
+	return Searcher{Instance: s.Instance, Address: s.Address, Born: s.Born}.Key()
+}
+
 // Fleet is the immutable set of servers that accept requests, by service.
 type Fleet struct {
 	byService map[string][]Searcher
--- a/internal/refresher/expired.go
+++ b/internal/refresher/expired.go
@@ -30,16 +30,21 @@
 	return true
 }
 
+// RecordRestore records that the store was restored from an older copy, which may lack
+// registrations as after an outage.
+func (e *ExpiredEntries[T]) RecordRestore(now time.Time) { e.reachableAt = now }
+
 // RecordRemoval retains an entry that is gone from the store if it may have expired
-// because of an outage.
-func (e *ExpiredEntries[T]) RecordRemoval(now time.Time, name string, entry T) {
+// because of an outage, and reports whether it does.
+func (e *ExpiredEntries[T]) RecordRemoval(now time.Time, name string, entry T) (retained bool) {
 	if e.reachableAt.IsZero() || now.Sub(e.reachableAt) >= reregistrationTime {
-		return
+		return false
 	}
 	if e.retained == nil {
 		e.retained = map[string]T{}
 	}
 	e.retained[name] = entry
+	return true
 }
 
 // RecordReregistration stops retaining an entry that is in the store again, in
