A daemon that starts asks the seeds for the configuration before it reads the store

Callers saw: a daemon that had just started served the older configuration of a restored store until the membership told it of the newer one (CONFIG, DENIED). Cause: a seed reads the store at once, and the first content that arrives is served. Class: a new process trusts one source where another may know more. Change: except at the tier's first start, the configuration is fetched from all other seeds at once, for 300 ms at most, before the first read; the highest version holds.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -73,6 +73,9 @@
 	// seedFetchPeriod.
 	seedFetchInterval = 60 * time.Millisecond
 	seedFetchPeriod   = 3 * time.Second
+	// seedAnswerTimeout bounds the wait for the seeds' configuration before a daemon that
+	// has just started reads the store. It is several round trips between regions.
+	seedAnswerTimeout = 300 * time.Millisecond
 	// reseedInterval is how often a daemon without live peers adds the seeds to its
 	// membership list again.
 	reseedInterval = time.Second
@@ -237,7 +240,10 @@
 	f.config.Scheduler.Every(reseedInterval, func(time.Time) { f.checkMembership() })
 	var wait sync.WaitGroup
 	for _, loop := range []func(){
-		func() { readLoop(ctx, f, f.configurations) },
+		func() {
+			f.askSeeds(ctx)
+			readLoop(ctx, f, f.configurations)
+		},
 		func() { readLoop(ctx, f, f.servers) },
 		func() { f.fetchFromSeeds(ctx) },
 		func() { _ = f.gossip.Run() },
--- a/internal/follower/gossip.go
+++ b/internal/follower/gossip.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -125,16 +126,43 @@
 	}()
 }
 
+// otherSeeds returns the addresses of the seeds without this daemon.
+func (f *Follower) otherSeeds() []string {
+	var out []string
+	for _, ip := range f.config.Settings.Seeds {
+		if ip != f.config.Settings.IP {
+			out = append(out, f.peerAddress(ip))
+		}
+	}
+	return out
+}
+
+// askSeeds fetches the configuration from all seeds at once, before this daemon reads the
+// store: a store that was restored from a copy may have lost a version that the peers
+// know. At the tier's first start there is none.
+func (f *Follower) askSeeds(ctx context.Context) {
+	if f.config.Settings.Bootstrap {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, seedAnswerTimeout)
+	defer cancel()
+	var wait sync.WaitGroup
+	for _, seed := range f.otherSeeds() {
+		wait.Go(func() { f.fetchDocument(ctx, seed, f.configurations.name, f.configurations.handleFetchReply) })
+	}
+	wait.Wait()
+}
+
 // fetchFromSeeds fetches both documents from random seeds, one at a time, until the
 // state is ready or seedFetchPeriod is over.
 func (f *Follower) fetchFromSeeds(ctx context.Context) {
-	seeds := slices.DeleteFunc(slices.Clone(f.config.Settings.Seeds), func(ip string) bool { return ip == f.config.Settings.IP })
+	seeds := f.otherSeeds()
 	for until := time.Now().Add(seedFetchPeriod); len(seeds) > 0 && !f.State().Ready() && time.Now().Before(until); {
 		scheduler.Sleep(ctx, seedFetchInterval+rand.N(seedFetchInterval))
 		if ctx.Err() != nil {
 			return
 		}
-		from := f.peerAddress(seeds[rand.IntN(len(seeds))])
+		from := seeds[rand.IntN(len(seeds))]
 		f.fetchDocument(ctx, from, f.configurations.name, f.configurations.handleFetchReply)
 		f.fetchDocument(ctx, from, f.servers.name, f.servers.handleFetchReply)
 	}
--- a/internal/stager/tier_restore_test.go
+++ b/internal/stager/tier_restore_test.go
@@ -171,3 +171,30 @@
 	}
 	is.Equal(registered[0].Stats().LastArrival, before) // it did not register again
 }
+
+// TestStartingDaemonAsksPeersBeforeTheStore guards against a daemon that serves an older
+// configuration in its first moments because it read a restored store before it asked
+// its peers.
+func TestStartingDaemonAsksPeersBeforeTheStore(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	tier := newTier(t, nil)
+	older := tier.Store.Copy()
+	tier.Apply(rerouteSingles(tier))
+	awaitReroute(t, tier, 3*time.Second)
+	tier.Store.Restore(older)
+	for daemon := range tier.Daemons {
+		tier.Daemons[daemon].Kill()
+		is.NoErr(<-tier.Daemons[daemon].RunErr)
+		_, err := tier.StartDaemon(daemon, false)
+		is.NoErr(err)
+		served := 0
+		for until := time.Now().Add(500 * time.Millisecond); time.Now().Before(until); {
+			if service := servedBy(t, tier, daemon); service != "" {
+				is.Equal(service, stager.ShardServiceName(0))
+				served++
+			}
+		}
+		is.True(served > 0)
+	}
+}
