Soak: the store is restored from a copy, and a searcher names a rate limit

Change: a fault changes the configuration, restores the store from a copy without the change and writes again what was lost, with other faults around it; after the faults a searcher names a limit and all processes together must keep to it. The bound on configurations in tests has one name.

--- a/internal/soaker/faults.go
+++ b/internal/soaker/faults.go
@@ -24,7 +24,7 @@
 func (s *Soak) injectFaults(ctx context.Context) {
 	var wait sync.WaitGroup
 	for end := time.Now().Add(faultPhase); time.Now().Before(end) && ctx.Err() == nil; {
-		startFault := pick(s, s.killProcess, s.killProcess, s.suspendProcess, s.terminateProcess, s.faultStoreConnections, s.faultStore, s.faultSearcherConnections, s.faultSearcher, s.faultSearcher)
+		startFault := pick(s, s.killProcess, s.killProcess, s.suspendProcess, s.terminateProcess, s.faultStoreConnections, s.faultStore, s.restoreStore, s.faultSearcherConnections, s.faultSearcher, s.faultSearcher)
 		runFault := startFault()
 		wait.Add(1)
 		go func() {
@@ -149,3 +149,32 @@
 		b.SetFaults(emulator.BackendFaults{})
 	}
 }
+
+// rewriteTime is the time within which the operator and the searchers write again what a
+// restored store has lost.
+const rewriteTime = 1500 * time.Millisecond
+
+// restoreStore changes the configuration, restores the store from a copy that lacks the
+// change and writes again what was lost.
+func (s *Soak) restoreStore() func() {
+	lost, away, rewrite := s.randomDuration(300*time.Millisecond, 3*time.Second), s.randomDuration(50*time.Millisecond, 2*time.Second), s.randomDuration(0, rewriteTime)
+	return func() {
+		if !s.restoring.CompareAndSwap(false, true) {
+			return
+		}
+		defer s.restoring.Store(false)
+		c := s.tier.Store.Copy()
+		s.applyNext("")
+		time.Sleep(lost)
+		s.logf("store: restored from a copy %v old after %v", lost, away)
+		s.tier.Store.SetFaults(emulator.StoreFaults{Refuse: 503})
+		time.Sleep(away)
+		s.tier.Store.Restore(c)
+		s.tier.Store.SetFaults(emulator.StoreFaults{})
+		time.Sleep(rewrite)
+		for _, b := range s.tier.Backends {
+			s.tier.Register(b.Server)
+		}
+		s.tier.Apply(s.tier.StoredConfiguration)
+	}
+}
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -79,6 +79,8 @@
 	storeProxy      *interposer.Proxy
 	searcherProxies []*interposer.Proxy
 	startTime       time.Time
+	// restoring is set while the store is restored and written again.
+	restoring atomic.Bool
 
 	mu        sync.Mutex
 	processes []*process
@@ -270,6 +272,7 @@
 	s.mu.Unlock()
 	s.checkChange(ctx)
 	s.checkDrain()
+	s.checkRateLimit()
 	s.mu.Lock()
 	requests, answered := s.report.Requests-before.Requests, s.report.Answered-before.Answered
 	s.mu.Unlock()
@@ -278,19 +281,26 @@
 	}
 }
 
-// checkChange points a route at another service and requires that every daemon applies
-// the change within propagationBound.
-func (s *Soak) checkChange(ctx context.Context) {
+// applyNext applies the next version of the configuration, which points a route at a
+// service unless that is empty.
+func (s *Soak) applyNext(service string) planner.Configuration {
 	next := s.tier.StoredConfiguration
 	next.Version += 2
 	next.Routes = append([]planner.Route{}, next.Routes...)
-	service := stager.ShardServiceName(int(next.Version) / 2 % 4)
 	for i, r := range next.Routes {
-		if r.Name == "single" {
+		if r.Name == "single" && service != "" {
 			next.Routes[i].Backends = []planner.Backend{{Service: service, Weight: 1}}
 		}
 	}
 	s.tier.Apply(next)
+	return next
+}
+
+// checkChange points a route at another service and requires that every daemon applies
+// the change within propagationBound.
+func (s *Soak) checkChange(ctx context.Context) {
+	service := stager.ShardServiceName(s.rng.IntN(s.tier.Config.Shards))
+	next := s.applyNext(service)
 	applied := time.Now()
 	time.Sleep(propagationBound)
 	for _, p := range s.processes {
@@ -320,3 +330,27 @@
 	}
 	s.tier.Register(b.Server)
 }
+
+// The users' rule on rate limits: from limitSettle after a searcher first named a limit it
+// gets in any limitWindow at most limitTolerance times what that allows, and limitSlack
+// requests more, from the daemons that knew of it limitDelay before.
+const (
+	limitSettle    = 5 * time.Second
+	limitWindow    = 4 * time.Second
+	limitDelay     = 500 * time.Millisecond
+	limitTolerance = 1.5
+	limitSlack     = 5
+)
+
+// checkRateLimit makes a searcher name a rate limit and requires that all processes
+// together keep to it.
+func (s *Soak) checkRateLimit() {
+	b, perSecond := s.tier.Backends[s.rng.IntN(len(s.tier.Backends))], 1+s.rng.Float64()*20
+	b.SetRateLimit(perSecond)
+	time.Sleep(limitSettle + limitWindow)
+	allowed := limitTolerance*perSecond*limitWindow.Seconds() + limitSlack
+	if peak := b.PeakLimited(limitSettle, limitWindow, limitDelay); float64(peak) > allowed {
+		s.reportViolation("searcher %s with a limit of %g a second received %d requests in %v; allowed %g", b.Server.Instance, perSecond, peak, limitWindow, allowed)
+	}
+	b.SetRateLimit(0)
+}
--- a/internal/stager/tier_restore_test.go
+++ b/internal/stager/tier_restore_test.go
@@ -50,7 +50,7 @@
 			restore(tier, older, away)
 			time.Sleep(300 * time.Millisecond)
 			tier.Apply(rerouteSingles(tier))
-			awaitReroute(t, tier, 3*time.Second)
+			awaitReroute(t, tier)
 		})
 	}
 }
@@ -66,7 +66,7 @@
 	older := tier.Store.Copy()
 	tier.Apply(rerouteSingles(tier))
 	newest := tier.StoredConfiguration
-	awaitReroute(t, tier, 3*time.Second)
+	awaitReroute(t, tier)
 	writeRevisions(tier, lostRevisions)
 	time.Sleep(time.Second)
 	restore(tier, older, 500*time.Millisecond)
@@ -181,7 +181,7 @@
 	tier := newTier(t, nil)
 	older := tier.Store.Copy()
 	tier.Apply(rerouteSingles(tier))
-	awaitReroute(t, tier, 3*time.Second)
+	awaitReroute(t, tier)
 	tier.Store.Restore(older)
 	for daemon := range tier.Daemons {
 		tier.Daemons[daemon].Kill()
--- a/internal/stager/tier_state_test.go
+++ b/internal/stager/tier_state_test.go
@@ -91,14 +91,18 @@
 	return tier.ExecutedBy(id).Server.Service
 }
 
-// awaitReroute waits until every daemon uses the configuration of rerouteSingles.
-func awaitReroute(t *testing.T, tier *stager.Tier, within time.Duration) {
+// applyBound is the time within which every daemon must have applied a configuration.
+const applyBound = 3 * time.Second
+
+// awaitReroute waits until every daemon uses the configuration of rerouteSingles, for
+// applyBound at most.
+func awaitReroute(t *testing.T, tier *stager.Tier) {
 	t.Helper()
-	until := time.Now().Add(within)
+	until := time.Now().Add(applyBound)
 	for daemon := range tier.Daemons {
 		for servedBy(t, tier, daemon) != stager.ShardServiceName(0) {
 			if time.Now().After(until) {
-				t.Fatalf("daemon %d has not applied the configuration after %v", daemon, within)
+				t.Fatalf("daemon %d has not applied the configuration after %v", daemon, applyBound)
 			}
 			time.Sleep(10 * time.Millisecond)
 		}
@@ -109,7 +113,6 @@
 // of the daemon that reads it. Every daemon must apply the change within 3 s and keep
 // it.
 func TestTierAppliesConfigurationsInTime(t *testing.T) {
-	const bound = 3 * time.Second
 	for name, fault := range map[string]func(*stager.Tier){
 		"no fault": func(*stager.Tier) {},
 		"killed": func(tier *stager.Tier) {
@@ -136,7 +139,7 @@
 			time.Sleep(1500 * time.Millisecond) // until the daemons have discovered each other
 			fault(tier)
 			tier.Apply(rerouteSingles(tier))
-			awaitReroute(t, tier, bound)
+			awaitReroute(t, tier)
 			for daemon := range tier.Daemons {
 				if got := servedBy(t, tier, daemon); got != stager.ShardServiceName(0) {
 					t.Fatalf("daemon %d returned to service %q of the old configuration", daemon, got)
