The first era that a store names is no restore; names of shared state

Cause: reading the change: content from a daemon of an earlier release has no era, so that the first list after it looked like a restored store.

--- a/internal/follower/document.go
+++ b/internal/follower/document.go
@@ -306,7 +306,8 @@
 		return false
 	}
 	d.position = to
-	restored = from.Revision != 0 && to.Era != from.Era
+	// Content that came from a daemon of an earlier release has no era.
+	restored = from.Era != 0 && to.Era != from.Era
 	if restored {
 		klog.InfoS("store was restored from an older copy", "document", d.name, "era", to.Era, "revision", to.Revision, "known", from.Revision)
 	}
--- a/internal/follower/document_test.go
+++ b/internal/follower/document_test.go
@@ -178,3 +178,19 @@
 	is.Equal(cutOff.version, uint64(10))
 	is.Equal(cutOff.position, at(2, 70))
 }
+
+// TestFirstEraIsNoRestore guards against a daemon that takes the store for a restored one
+// because its first content came from a daemon of an earlier release, which names no era.
+func TestFirstEraIsNoRestore(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	_, d := newReadAndEmptyDocuments(t, 1)
+	restored := 0
+	d.onRestored = func(time.Time) { restored++ }
+	entries := []platform.Entry[string]{{Name: "a", Value: "1"}}
+	d.applyRead(entries, platform.Position{Revision: 7}, true)
+	d.applyRead(entries, platform.Position{Era: 1, Revision: 8}, true)
+	is.Equal(restored, 0)
+	d.applyRead(entries, platform.Position{Era: 2, Revision: 3}, true)
+	is.Equal(restored, 1)
+}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -184,7 +184,7 @@
 		Machine:         prober.New(f.proberConfig()),
 		Socket:          f.packetConn,
 		Scheduler:       config.Scheduler,
-		BeforeSend:      f.attachHeads,
+		BeforeSend:      f.attachState,
 		AfterReceive:    f.handlePacket,
 		OnSent:          func(n int) { config.OnPacket("out", n) },
 		OnReceived:      func(n int) { config.OnPacket("in", n) },
--- a/internal/follower/gossip.go
+++ b/internal/follower/gossip.go
@@ -68,9 +68,9 @@
 	f.gossip.SendTo(f.withoutSelf(local), &messenger.Packet{From: f.address, Heads: []*messenger.Head{head}, Target: f.config.Settings.FailureDomain})
 }
 
-// attachHeads adds the heads of this daemon's documents, the rate limits that it knows
+// attachState adds the heads of this daemon's documents, the rate limits that it knows
 // and its number of daemons to packets of the membership protocol.
-func (f *Follower) attachHeads(now time.Time, packets []*messenger.Packet) {
+func (f *Follower) attachState(now time.Time, packets []*messenger.Packet) {
 	var heads []*messenger.Head
 	for _, head := range []*messenger.Head{f.configurations.head(now), f.servers.head(now)} {
 		if head != nil {
@@ -84,8 +84,8 @@
 	}
 }
 
-// handlePacket passes on observations and rate limits, reports displaced searchers and compares a
-// peer's heads with this daemon's documents.
+// handlePacket passes on observations and shared state, reports displaced searchers and
+// compares a peer's heads with this daemon's documents.
 func (f *Follower) handlePacket(now time.Time, packet *messenger.Packet) {
 	for _, displaced := range packet.GetDraining() {
 		f.config.OnDisplaced(now, displaced.GetSearcher())
--- a/internal/follower/hidden.go
+++ b/internal/follower/hidden.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"github.com/fuchsiastile/fuchsiastile/internal/messenger"
 )
 
@@ -27,7 +29,11 @@
 // before they left.
 func (f *Follower) handleHidden(now time.Time, reply *messenger.FetchReply) {
 	hidden := reply.GetHidden()
-	if len(hidden) == 0 || len(hidden) > maxHidden {
+	if len(hidden) == 0 {
+		return
+	}
+	if len(hidden) > maxHidden {
+		klog.InfoS("ignoring the servers that a peer hides, there are too many", "servers", len(hidden))
 		return
 	}
 	f.mu.Lock()
--- a/internal/responder/responder.go
+++ b/internal/responder/responder.go
@@ -156,9 +156,9 @@
 	return budgeter.Config{Ratio: b.RetryBudgetRatio, Slack: b.RetryBudgetSlack, Window: b.RetryBudgetWindow}
 }
 
-// ConfigureBudget configures the retry budget for new bounds or a new number of
-// daemons, which also share the searchers' rate limits.
-func (r *Responder) ConfigureBudget(bounds platform.Bounds, state *follower.State) {
+// ConfigureShares configures this daemon's shares of the retry budget and of the
+// searchers' rate limits for new bounds or a new number of daemons.
+func (r *Responder) ConfigureShares(bounds platform.Bounds, state *follower.State) {
 	r.budget.Configure(budgetConfig(bounds), state.Daemons)
 	r.limiter.Configure(time.Now(), state.Daemons)
 }
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -117,7 +117,7 @@
 		Network:      config.Network,
 		Scheduler:    s.scheduler,
 		OnStoreCall:  storeCalls.Inc,
-		OnChange:     func(state *follower.State) { s.responder.ConfigureBudget(s.settings.Load().Bounds, state) },
+		OnChange:     func(state *follower.State) { s.responder.ConfigureShares(s.settings.Load().Bounds, state) },
 		OnDisplaced:  func(now time.Time, key string) { s.responder.MarkDisplaced(now, key, false) },
 		OnReport:     func(sender string, report []reporter.Observation) { s.responder.CollectReport(sender, report) },
 		OnSummary:    func(now time.Time, summary reporter.Summary) { s.responder.ApplySummary(now, summary) },
@@ -348,7 +348,7 @@
 	}
 	debug.SetMemoryLimit(int64(softMemoryLimitRatio * float64(next.MemoryBytes)))
 	s.settings.Store(&next)
-	s.responder.ConfigureBudget(next.Bounds, s.follower.State())
+	s.responder.ConfigureShares(next.Bounds, s.follower.State())
 	klog.InfoS("settings reloaded", "seeds", len(next.Seeds), "store", next.StoreAddress)
 }
 
