All shards of a query share one draw, also after a denial

Cause: reading the change: a denial moved the query's draw for the shards that followed, so that in a large tier with many limited searchers fewer queries got all their permits than the shared draw was meant to give. Change: the draw moves on within one pick only. Measured: TestTierKeepsRateLimits and the limiter's tests pass; the rates sent do not depend on it.

--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -3,11 +3,12 @@
 //
 // Each daemon spends an equal share of the rate through a token bucket of its own.
 // This needs no coordination, and the total holds while daemons cannot reach each
-// other. Daemons tell each other the limits, for those that have not met the server yet
-// or no longer meet it. If the share is so small that the bucket would hold less than one token, a
+// other. If the share is so small that the bucket would hold less than one token, a
 // daemon spends the tokens that it has on a draw: it sends with a probability equal to
 // them. Otherwise all daemons of a large tier could save one token each and spend them
 // in the same second.
+//
+// Daemons tell each other the limits, for those that have not met the server yet.
 package limiter
 
 import (
--- a/internal/responder/limits.go
+++ b/internal/responder/limits.go
@@ -65,16 +65,20 @@
 	permit limiter.Permit
 }
 
-// takePermit reports whether the rate limit of a searcher allows this query's request.
-func (run *runner) takePermit(now time.Time, key string) bool {
-	permit, ok := run.responder.limiter.Take(now, key, run.draw)
-	if !ok {
-		// The next replica has another draw, or a query that lost one would lose them all.
-		run.draw = math.Mod(run.draw+goldenRatio, 1)
-		return false
+// permitTaker returns a function that reports whether the rate limit of a searcher allows
+// a request of this query, for one pick.
+func (run *runner) permitTaker(now time.Time) func(key string) bool {
+	draw := run.draw
+	return func(key string) bool {
+		permit, ok := run.responder.limiter.Take(now, key, draw)
+		if !ok {
+			// The next replica has another draw, or a query that lost one would lose them all.
+			draw = math.Mod(draw+goldenRatio, 1)
+			return false
+		}
+		run.picks[key] = pick{at: now, permit: permit}
+		return true
 	}
-	run.picks[key] = pick{at: now, permit: permit}
-	return true
 }
 
 // withdraw releases a picked searcher to which nothing is sent.
--- a/internal/responder/runner.go
+++ b/internal/responder/runner.go
@@ -175,7 +175,7 @@
 	}
 	rule := declarer.TrafficRule{Locality: declarer.LocalityAny}
 	now := time.Now()
-	return run.responder.picker.PickAllowed(now, rule, usable, excluded, func(key string) bool { return run.takePermit(now, key) })
+	return run.responder.picker.PickAllowed(now, rule, usable, excluded, run.permitTaker(now))
 }
 
 // spendBudget reports whether the retry budget, which all daemons share, allows
