Connections follow the limits of a new configuration at once

Cause: the choice of the searchers that a daemon connects to was cached by the list of searchers and the number of daemons, not by the configuration. After a change of a service's connection limit daemons went on with the old choice, and shared no observations, until one of the others changed. Callers saw retries on connections that searchers reset or on a replica that refuses. Found behind TestTierSharesObservations: in its failed runs 13 of 15 daemons shared nothing, as the cache was filled before the configuration that the test applies. Change: the cache is keyed by the configuration, too.

--- a/internal/responder/connections.go
+++ b/internal/responder/connections.go
@@ -41,6 +41,8 @@
 // subset, to which it should keep no connections, are marked as spare. It is
 // immutable.
 type searcherSubset struct {
+	// table, fleet and daemons are those of the state for which the subset was computed.
+	table     *planner.Table
 	fleet     *planner.Fleet
 	daemons   int
 	searchers map[string][]planner.Searcher
@@ -53,10 +55,10 @@
 // the nearest first, and among equally near ones by rendezvous hashing, so that the
 // connections of all daemons are spread evenly over the searchers.
 func (r *Responder) subsetFor(state *follower.State) *searcherSubset {
-	if cached := r.cachedSubset.Load(); cached != nil && cached.fleet == state.Fleet && cached.daemons == state.Daemons {
+	if cached := r.cachedSubset.Load(); cached != nil && cached.table == state.Table && cached.fleet == state.Fleet && cached.daemons == state.Daemons {
 		return cached
 	}
-	subset := &searcherSubset{fleet: state.Fleet, daemons: state.Daemons, searchers: map[string][]planner.Searcher{}, keys: map[uint64]string{}}
+	subset := &searcherSubset{table: state.Table, fleet: state.Fleet, daemons: state.Daemons, searchers: map[string][]planner.Searcher{}, keys: map[uint64]string{}}
 	for _, service := range state.Fleet.Services() {
 		list := state.Fleet.Searchers(service)
 		size := assigner.ReplicasPerDaemon(connectionLimit(state, service), state.Daemons, len(list))
