A reply written before a rate limit was named does not end the limit

Cause: a reply without a limit ended the searcher's limit by its time of arrival. A slow reply that the searcher wrote before it named the limit, and that arrives after a quick one that names it, switched the limit off until the next reply; told to other daemons as the newest news it did so there, too. Change: a reply without a limit counts from when its request was sent. Then it ends only limits that were named before, whatever the order of arrival, on all daemons. Measured: TestOvertakenReplyEndsNoLimit fails with the time of arrival and passes now.

--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -61,7 +61,8 @@
 	// ended is set if the last reply named no limit. The bucket is then kept for endedTTL,
 	// to tell others and to reject their older news.
 	ended bool
-	// repliedAt is the time of the last reply to any daemon, as far as this one knows.
+	// repliedAt is the RepliedAt of the latest Observation by any daemon, as far as this one
+	// knows.
 	repliedAt time.Time
 	// tokens are the unspent requests as of refilledAt, at least zero and at most the
 	// bucket's size.
@@ -95,12 +96,25 @@
 	l.daemons = float64(max(1, daemons))
 }
 
-// Record records the limit in a server's reply, in requests a second over all
-// daemons; limited is false if the reply names none. It reports whether that changed.
-func (l *Limiter) Record(now time.Time, key string, perSecond float64, limited bool) (changed bool) {
+// RecordLimit records the limit that a reply names, in requests a second over all
+// daemons, and reports whether that changed.
+func (l *Limiter) RecordLimit(now time.Time, key string, perSecond float64) (changed bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.record(now, Observation{Server: reporter.Hash(key), PerSecond: perSecond, Ended: !limited, RepliedAt: now})
+	return l.record(now, Observation{Server: reporter.Hash(key), PerSecond: perSecond, RepliedAt: now})
+}
+
+// RecordNoLimit records that the reply to a request sent at the given time names no
+// limit, and reports whether that ends one. It does not if a reply that arrived since
+// then named it: the server may have written the two in the other order.
+func (l *Limiter) RecordNoLimit(now, sentAt time.Time, key string) (changed bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	server := reporter.Hash(key)
+	if b, limited := l.limited(now, server); !limited || !sentAt.After(b.repliedAt) {
+		return false
+	}
+	return l.record(now, Observation{Server: server, Ended: true, RepliedAt: sentAt})
 }
 
 // record applies the news of a reply that is newer than all that is known of its server.
--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -36,7 +36,7 @@
 	for range daemons {
 		l := limiter.New(start.Add(-time.Minute))
 		l.Configure(start, daemons)
-		l.Record(start, key, perSecond, true)
+		l.RecordLimit(start, key, perSecond)
 		t.daemons = append(t.daemons, l)
 	}
 	return t
@@ -50,7 +50,7 @@
 		// The square gives some daemons several times the mean load.
 		l := t.daemons[int(t.rng.Float64()*t.rng.Float64()*float64(len(t.daemons)))]
 		if _, ok := l.Take(now, key, t.rng.Float64()); ok {
-			l.Record(now, key, perSecond, true)
+			l.RecordLimit(now, key, perSecond)
 			t.sent = append(t.sent, now)
 		}
 	}
@@ -114,25 +114,41 @@
 func TestEndedLimitIsForgotten(t *testing.T) {
 	is := is.New(t)
 	l := limiter.New(start.Add(-time.Minute))
-	is.True(l.Record(start, key, 0.5, true))
-	is.True(!l.Record(start, key, 0.5, true))
+	is.True(l.RecordLimit(start, key, 0.5))
+	is.True(!l.RecordLimit(start, key, 0.5))
 	_, ok := l.Take(start, key, 0.9)
 	is.True(!ok)
 	is.True(l.Wait(start, key) > 0)
-	is.True(l.Record(start, key, 0, false)) // the server names none any more
-	_, ok = l.Take(start, key, 0.9)
+	later := start.Add(time.Millisecond)
+	is.True(l.RecordNoLimit(later, later, key))
+	_, ok = l.Take(later, key, 0.9)
 	is.True(ok)
-	l.Record(start, key, 0.5, true)
+	l.RecordLimit(start, key, 0.5)
 	_, ok = l.Take(start.Add(time.Minute), key, 0.99) // no reply has named it for a minute
 	is.True(ok)
 }
 
+// TestOvertakenReplyEndsNoLimit guards against a reply that the server wrote before it
+// named a limit and that arrives, here or at another daemon, after one that names it.
+func TestOvertakenReplyEndsNoLimit(t *testing.T) {
+	is := is.New(t)
+	at := func(millis int) time.Time { return start.Add(time.Duration(millis) * time.Millisecond) }
+	l, other := limiter.New(start.Add(-time.Minute)), limiter.New(start.Add(-time.Minute))
+	other.RecordLimit(at(0), key, 0.5) // an earlier limit
+	l.RecordLimit(at(100), key, 0.5)
+	is.True(!l.RecordNoLimit(at(200), at(50), key))
+	is.True(other.RecordNoLimit(at(200), at(50), key))
+	is.Equal(l.Merge(at(300), other.News(at(300))), 0)
+	_, ok := l.Take(at(300), key, 0.99)
+	is.True(!ok)
+}
+
 // TestReturnedPermitIsUsable guards against requests that count against the limit
 // though they were not sent.
 func TestReturnedPermitIsUsable(t *testing.T) {
 	is := is.New(t)
 	l := limiter.New(start.Add(-time.Minute))
-	l.Record(start, key, 1, true)
+	l.RecordLimit(start, key, 1)
 	now := start.Add(1200 * time.Millisecond)
 	permit, ok := l.Take(now, key, 0)
 	is.True(ok)
@@ -148,7 +164,7 @@
 func TestStartingDaemonWaits(t *testing.T) {
 	is := is.New(t)
 	l := limiter.New(start)
-	l.Record(start, key, 100, true)
+	l.RecordLimit(start, key, 100)
 	_, ok := l.Take(start.Add(900*time.Millisecond), key, 0)
 	is.True(!ok)
 }
--- a/internal/limiter/news.go
+++ b/internal/limiter/news.go
@@ -24,7 +24,8 @@
 	PerSecond float64
 	// Ended is set if the reply named no limit.
 	Ended bool
-	// RepliedAt is the time of the reply.
+	// RepliedAt is when the reply arrived; if it named no limit, when its request was sent,
+	// so that it ends only limits that were named before the server wrote the reply.
 	RepliedAt time.Time
 }
 
--- a/internal/limiter/news_test.go
+++ b/internal/limiter/news_test.go
@@ -16,10 +16,10 @@
 	is := is.New(t)
 	at := func(millis int) time.Time { return start.Add(time.Duration(millis) * time.Millisecond) }
 	told := limiter.New(start.Add(-time.Minute))
-	told.Record(at(0), key, 0.5, true)
+	told.RecordLimit(at(0), key, 0.5)
 	named := told.News(at(100))
 	is.Equal(len(named), 1)
-	told.Record(at(500), key, 0, false)
+	told.RecordNoLimit(at(500), at(500), key)
 	ended := told.News(at(600))
 	is.True(ended[0].Ended)
 
@@ -29,7 +29,7 @@
 	is.Equal(l.Merge(at(700), named), 0) // older news
 	_, ok := l.Take(at(700), key, 0.99)
 	is.True(ok)
-	l.Record(at(800), key, 0.5, true) // the server names it anew
+	l.RecordLimit(at(800), key, 0.5) // the server names it anew
 	is.Equal(l.Merge(at(900), ended), 0)
 	_, ok = l.Take(at(900), key, 0.99)
 	is.True(!ok)
--- a/internal/responder/limits.go
+++ b/internal/responder/limits.go
@@ -17,22 +17,20 @@
 // limits. Callers come back to another daemon, which may have a permit sooner.
 const maxLimitedRetryAfter = time.Second
 
-// recordRateLimit records the rate limit that a searcher's reply names, or that it
-// names none.
-func (r *Responder) recordRateLimit(now time.Time, key string, h http.Header) {
+// recordRateLimit records the rate limit that a searcher's reply to a request sent at the
+// given time names, or that it names none.
+func (r *Responder) recordRateLimit(now, sentAt time.Time, key string, h http.Header) {
 	perSecond, limited, err := platform.RateLimit(h)
-	if err != nil {
+	switch {
+	case err != nil:
 		klog.InfoS("ignoring malformed rate limit", "searcher", key, "cause", err.Error())
-		return
-	}
-	if !r.limiter.Record(now, key, perSecond, limited) {
-		return
-	}
-	if limited {
-		klog.InfoS("searcher limits its requests", "searcher", key, "perSecond", perSecond)
-		return
+	case limited:
+		if r.limiter.RecordLimit(now, key, perSecond) {
+			klog.InfoS("searcher limits its requests", "searcher", key, "perSecond", perSecond)
+		}
+	case r.limiter.RecordNoLimit(now, sentAt, key):
+		klog.InfoS("searcher no longer limits its requests", "searcher", key)
 	}
-	klog.InfoS("searcher no longer limits its requests", "searcher", key)
 }
 
 // RateLimits returns the rate limits that other daemons are told.
--- a/internal/responder/results.go
+++ b/internal/responder/results.go
@@ -67,7 +67,7 @@
 	latency := now.Sub(attempt.sentAt)
 	outcome := platform.ClassifyReply(res.reply.Status, res.reply.Header)
 	if outcome != platform.Displaced {
-		run.responder.recordRateLimit(now, key, res.reply.Header)
+		run.responder.recordRateLimit(now, attempt.sentAt, key, res.reply.Header)
 	}
 	switch outcome {
 	case platform.Success:
