A searcher's rate limit outlives a gap in its registration

Cause: daemons dropped the limits of searchers that the store does not list, with the other state of searchers that are gone. A registration may be missing for a moment (it expires while the store is away or cut off, a restored store lacks it); once it is back, daemons sent what callers asked for until the first replies (LIMIT). Class: state of a searcher's need kept by its registration. Change: a limit is dropped when it has expired by its own time, as before by TakeUsage.

--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -12,7 +12,6 @@
 package limiter
 
 import (
-	"maps"
 	"sync"
 	"time"
 
@@ -249,7 +248,9 @@
 	return time.Duration(missing / perSecond * float64(time.Second))
 }
 
-// TakeUsage returns the usage since the last call.
+// TakeUsage returns the usage since the last call, and drops the limits that no longer hold.
+// A server that is missing from the store's list keeps its limit, since it may be back at
+// any moment.
 func (l *Limiter) TakeUsage(now time.Time) Usage {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -263,17 +264,3 @@
 	}
 	return out
 }
-
-// Forget drops the limits of servers whose keys are not in keep.
-func (l *Limiter) Forget(keep map[string]bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if len(l.buckets) == 0 {
-		return
-	}
-	servers := make(map[uint64]bool, len(keep))
-	for key := range keep {
-		servers[reporter.Hash(key)] = true
-	}
-	maps.DeleteFunc(l.buckets, func(server uint64, _ *bucket) bool { return !servers[server] })
-}
--- a/internal/responder/responder.go
+++ b/internal/responder/responder.go
@@ -173,7 +173,6 @@
 	keep := state.Fleet.Keys()
 	r.exchanger.Sweep(now, keep)
 	r.picker.Forget(now, keep)
-	r.limiter.Forget(keep)
 	r.reportRateLimits(now)
 	r.budget.Forget(func(service string) bool { return len(state.Fleet.Searchers(service)) > 0 })
 	r.preconnect(state)
--- a/internal/stager/tier_limits_test.go
+++ b/internal/stager/tier_limits_test.go
@@ -126,3 +126,54 @@
 		t.Errorf("the daemon sent %d requests of a burst of %d to searchers with limits of %d a second", got, burst, perSecond)
 	}
 }
+
+// TestTierKeepsLimitsOfMissingSearchers guards against a limit that is forgotten because the
+// searcher's registration is gone for a moment, and a flood when it is back.
+func TestTierKeepsLimitsOfMissingSearchers(t *testing.T) {
+	t.Parallel()
+	tier := newTier(t, nil)
+	const (
+		perSecond = 3
+		burst     = 400
+		// missingTime is longer than the interval at which daemons drop the state of
+		// searchers that are gone.
+		missingTime = 3 * time.Second
+	)
+	limited := backendsOf(tier, stager.ShardServiceName(1))
+	for _, b := range limited {
+		b.SetRateLimit(perSecond)
+	}
+	eventually(t, "every daemon knows every limit", func() bool {
+		known := true
+		for daemon := range tier.Daemons {
+			sendRequest(t, tier, daemon, stager.ScatterGatherPath+"x")
+			for _, b := range limited {
+				known = known && b.LimitedRequests(tier.Daemons[daemon].Settings.IP) > 0
+			}
+		}
+		return known
+	})
+	for _, b := range limited {
+		tier.Store.Delete(platform.ObjectKindServer, b.Server.Instance)
+	}
+	time.Sleep(missingTime)
+	before := map[*emulator.Backend]int{}
+	for _, b := range limited {
+		before[b] = b.LimitedRequests("")
+		tier.Register(b.Server)
+	}
+	time.Sleep(time.Second)
+	var wait sync.WaitGroup
+	for n := range burst {
+		wait.Go(func() {
+			_, _ = tier.Send(t.Context(), tier.Daemons[n%len(tier.Daemons)], http.MethodGet, stager.ScatterGatherPath+"x", nextID(), time.Second, nil)
+		})
+	}
+	wait.Wait()
+	const allowed = limitTolerance*perSecond*float64(limitWindow/time.Second) + limitSlack
+	for _, b := range limited {
+		if got := b.LimitedRequests("") - before[b]; float64(got) > allowed {
+			t.Errorf("searcher %s with a limit of %d a second received %d requests of a burst of %d; allowed %g", b.Server.Instance, perSecond, got, burst, allowed)
+		}
+	}
+}
