Tests hold the ports of searchers that they kill

No daemon was at fault. Change: the test keeps the port bound without listening on it; the check is the same.

--- a/internal/stager/guarantees_test.go
+++ b/internal/stager/guarantees_test.go
@@ -174,6 +174,7 @@
 				case searcher.Shard != emulator.ShardName(3):
 				case name == "killed":
 					searcher.Close()
+					holdPort(t, searcher.VM.Address)
 				default:
 					searcher.SetFaults(fault)
 				}
