A daemon that was suspended ignores the rate limits that waited for it

Cause: news of rate limits carry ages. Packets that wait in the socket while a daemon is suspended look as new as when they were sent, so that the end of an earlier limit became the newest news, also for the daemons that it then told: each of them sent what callers asked for until its next reply (LIMIT). Change: the timer service says whether callbacks are or were just late by more than 0.5 s; limits in packets that are read then are ignored, peers repeat them each second. Limits in a fetched document count from the request for it.

--- a/internal/follower/gossip.go
+++ b/internal/follower/gossip.go
@@ -91,7 +91,11 @@
 		f.config.OnDisplaced(now, displaced.GetSearcher())
 	}
 	f.handleObservations(now, packet)
-	f.handleSharedState(now, packet)
+	// Packets that waited while this process was suspended would pass off old rate limits
+	// as new ones, here and on the daemons that it tells them.
+	if !f.config.Scheduler.JustResumed(now) {
+		f.handleSharedState(now, now, packet)
+	}
 	// Only announcements (kind 0) carry the sender's failure domain, as their target.
 	otherDomain := packet.GetKind() == 0 && packet.GetTarget() != f.config.Settings.FailureDomain
 	for _, head := range packet.GetHeads() {
@@ -180,7 +184,7 @@
 		reply = nil
 	}
 	now := time.Now()
-	f.handleSharedState(now, reply)
+	f.handleSharedState(now, sentAt, reply)
 	f.handleHidden(now, reply)
 	return handle(now, reply, time.Duration(reply.GetAgeMillis())*time.Millisecond+now.Sub(sentAt))
 }
--- a/internal/follower/shared.go
+++ b/internal/follower/shared.go
@@ -26,9 +26,10 @@
 }
 
 // handleSharedState applies the rate limits and the number of daemons that a peer told.
-func (f *Follower) handleSharedState(now time.Time, told sharedState) {
+// sentAt is when the peer sent them, or earlier.
+func (f *Follower) handleSharedState(now, sentAt time.Time, told sharedState) {
 	if limits := told.GetRateLimits(); len(limits) > 0 {
-		f.config.OnRateLimits(now, decodeRateLimits(now, limits))
+		f.config.OnRateLimits(now, decodeRateLimits(sentAt, limits))
 	}
 	if daemons := int(min(told.GetDaemons(), maxDaemons)); daemons > f.State().Daemons && now.Sub(f.startedAt) < joinPeriod {
 		f.learnDaemonCount(now, daemons)
@@ -70,12 +71,12 @@
 	return out
 }
 
-func decodeRateLimits(now time.Time, list []*messenger.RateLimit) []limiter.Observation {
+func decodeRateLimits(sentAt time.Time, list []*messenger.RateLimit) []limiter.Observation {
 	out := make([]limiter.Observation, len(list))
 	for i, l := range list {
 		out[i] = limiter.Observation{
 			Server: l.GetSearcher(), PerSecond: l.GetPerSecond(), Ended: l.GetEnded(),
-			RepliedAt: now.Add(-time.Duration(l.GetAgeMillis()) * time.Millisecond),
+			RepliedAt: sentAt.Add(-time.Duration(l.GetAgeMillis()) * time.Millisecond),
 		}
 	}
 	return out
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -9,10 +9,21 @@
 	"time"
 )
 
+const (
+	// maxLateness is how long after its due time a callback may start before the process
+	// is considered to have been suspended, or to have had no processor time.
+	maxLateness = 500 * time.Millisecond
+	// recoveryTime is how long after a suspension the process may still be reading what
+	// arrived during it.
+	recoveryTime = 500 * time.Millisecond
+)
+
 // Scheduler runs callbacks when they are due.
 type Scheduler struct {
-	mu        sync.Mutex
-	timers    timerHeap
+	mu     sync.Mutex
+	timers timerHeap
+	// resumedAt is when a callback last started later than maxLateness after it was due.
+	resumedAt time.Time
 	wake      chan struct{}
 	stop      chan struct{}
 	closeOnce sync.Once
@@ -105,12 +116,33 @@
 			s.mu.Unlock()
 			return wait
 		}
+		s.recordLateness(now)
 		heap.Pop(&s.timers)
 		s.mu.Unlock()
 		next.callback(now)
 	}
 }
 
+// recordLateness records whether the first callback is late. The caller holds mu, and there
+// is a callback.
+func (s *Scheduler) recordLateness(now time.Time) {
+	if now.Sub(s.timers[0].at) > maxLateness {
+		s.resumedAt = now
+	}
+}
+
+// JustResumed reports whether the process was suspended until a moment ago, as far as
+// late callbacks show it. The age of a message that it reads is then unknown.
+func (s *Scheduler) JustResumed(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.timers) > 0 {
+		// The callbacks may not have had their turn yet.
+		s.recordLateness(now)
+	}
+	return !s.resumedAt.IsZero() && now.Sub(s.resumedAt) < recoveryTime
+}
+
 // Sleep waits for a duration or until the context is done.
 func Sleep(ctx context.Context, duration time.Duration) {
 	timer := time.NewTimer(duration)
