A seed that starts asks the other seeds for the servers before it reads the store

Cause: a seed reads the store at once when it starts. If the store was restored a short time ago, its list still has searchers that drain or have left; the peers hide them, but told the new daemon only with a document, which it did not fetch as its own had the same digest. Callers' requests went to searchers that were due to exit (DRAIN), for about four seconds.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -73,8 +73,8 @@
 	// seedFetchPeriod.
 	seedFetchInterval = 60 * time.Millisecond
 	seedFetchPeriod   = 3 * time.Second
-	// seedAnswerTimeout bounds the wait for the seeds' configuration before a daemon that
-	// has just started reads the store. It is several round trips between regions.
+	// seedAnswerTimeout bounds the wait for the seeds' documents before a daemon that has
+	// just started reads the store. It is several round trips between regions.
 	seedAnswerTimeout = 300 * time.Millisecond
 	// reseedInterval is how often a daemon without live peers adds the seeds to its
 	// membership list again.
@@ -241,10 +241,13 @@
 	var wait sync.WaitGroup
 	for _, loop := range []func(){
 		func() {
-			f.askSeeds(ctx)
+			askSeeds(ctx, f, f.configurations)
 			readLoop(ctx, f, f.configurations)
 		},
-		func() { readLoop(ctx, f, f.servers) },
+		func() {
+			askSeeds(ctx, f, f.servers)
+			readLoop(ctx, f, f.servers)
+		},
 		func() { f.fetchFromSeeds(ctx) },
 		func() { _ = f.gossip.Run() },
 		func() { _ = f.server.Serve(ctx, f.listener) },
--- a/internal/follower/gossip.go
+++ b/internal/follower/gossip.go
@@ -141,10 +141,10 @@
 	return out
 }
 
-// askSeeds fetches the configuration from all seeds at once, before this daemon reads the
-// store: a store that was restored from a copy may have lost a version that the peers
-// know. At the tier's first start there is none.
-func (f *Follower) askSeeds(ctx context.Context) {
+// askSeeds fetches a document from all seeds at once, before this daemon reads the store:
+// a store that was restored from a copy may have lost a version, or that a searcher has
+// left, and the peers know it. At the tier's first start there is none.
+func askSeeds[T any](ctx context.Context, f *Follower, d *document[T]) {
 	if f.config.Settings.Bootstrap {
 		return
 	}
@@ -152,7 +152,7 @@
 	defer cancel()
 	var wait sync.WaitGroup
 	for _, seed := range f.otherSeeds() {
-		wait.Go(func() { f.fetchDocument(ctx, seed, f.configurations.name, f.configurations.handleFetchReply) })
+		wait.Go(func() { f.fetchDocument(ctx, seed, d.name, d.handleFetchReply) })
 	}
 	wait.Wait()
 }
--- a/internal/stager/tier.go
+++ b/internal/stager/tier.go
@@ -45,6 +45,8 @@
 	// which it is registered, such as that of a proxy; nil registers the listening
 	// address.
 	RegisteredAddress func(address string) (string, error)
+	// Network replaces the network of daemons that StartDaemon starts; nil keeps it.
+	Network func(dialer.Network) dialer.Network
 }
 
 // Tier is a running deployment on the users' platform: the metadata store, the
@@ -220,10 +222,14 @@
 		return nil, err
 	}
 	localIP := net.ParseIP(d.Settings.IP)
-	d.Supervisor, err = supervisor.New(supervisor.Config{SettingsFile: d.SettingsFile, Network: dialer.Network{
+	network := dialer.Network{
 		Dial:         (&net.Dialer{LocalAddr: &net.TCPAddr{IP: localIP}}).DialContext,
 		ListenPacket: net.ListenPacket,
-	}})
+	}
+	if t.Config.Network != nil {
+		network = t.Config.Network(network)
+	}
+	d.Supervisor, err = supervisor.New(supervisor.Config{SettingsFile: d.SettingsFile, Network: network})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/stager/tier_restore_test.go
+++ b/internal/stager/tier_restore_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"slices"
 	"testing"
@@ -9,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/fuchsiastile/fuchsiastile/internal/dialer"
 	"github.com/fuchsiastile/fuchsiastile/internal/emulator"
 	"github.com/fuchsiastile/fuchsiastile/internal/stager"
 	"github.com/fuchsiastile/fuchsiastile/platform"
@@ -97,6 +99,25 @@
 	})
 }
 
+// departedSearchers lets one searcher drain and another leave, and returns both. A copy of
+// the store that is made before has neither.
+func departedSearchers(tier *stager.Tier) []*emulator.Backend {
+	searchers := backendsOf(tier, singles)[:2]
+	drained := searchers[0].Server
+	drained.Draining = true
+	tier.Register(drained)
+	tier.Store.Delete(platform.ObjectKindServer, searchers[1].Server.Instance)
+	writeRevisions(tier, lostRevisions)
+	return searchers
+}
+
+// lastUse returns when the last request reached one of the searchers.
+func lastUse(searchers []*emulator.Backend) time.Time {
+	return slices.MaxFunc(searchers, func(a, b *emulator.Backend) int {
+		return a.Stats().LastArrival.Compare(b.Stats().LastArrival)
+	}).Stats().LastArrival
+}
+
 // TestRestoredStoreBringsBackNoSearchers guards against searchers that are used again
 // because the store has lost that they drain or have left.
 func TestRestoredStoreBringsBackNoSearchers(t *testing.T) {
@@ -104,18 +125,8 @@
 	is := is.New(t)
 	tier := newTier(t, nil)
 	older := tier.Store.Copy()
-	searchers := backendsOf(tier, singles)[:2]
-	drained := searchers[0].Server
-	drained.Draining = true
-	tier.Register(drained)
-	tier.Store.Delete(platform.ObjectKindServer, searchers[1].Server.Instance)
-	writeRevisions(tier, lostRevisions)
+	searchers := departedSearchers(tier)
 	time.Sleep(2 * time.Second)
-	lastUse := func() time.Time {
-		return slices.MaxFunc(searchers, func(a, b *emulator.Backend) int {
-			return a.Stats().LastArrival.Compare(b.Stats().LastArrival)
-		}).Stats().LastArrival
-	}
 	restored := time.Now()
 	restore(tier, older, 100*time.Millisecond)
 	// Within two seconds the draining one says so again; within three heartbeats the
@@ -126,12 +137,62 @@
 			is.Equal(reply.Status, http.StatusOK)
 		}
 	}
+	drained := searchers[0].Server
+	drained.Draining = true
 	tier.Register(drained)
 	time.Sleep(2 * time.Second)
 	for range 20 {
 		sendRequest(t, tier, 0, stager.SinglePath+"x")
 	}
-	is.True(lastUse().Before(restored))
+	is.True(lastUse(searchers).Before(restored))
+}
+
+// deafConn loses the packets that arrive before a point in time.
+type deafConn struct {
+	net.PacketConn
+	until time.Time
+}
+
+func (c deafConn) ReadFrom(b []byte) (int, net.Addr, error) {
+	for {
+		n, from, err := c.PacketConn.ReadFrom(b)
+		if err != nil || !time.Now().Before(c.until) {
+			return n, from, err
+		}
+	}
+}
+
+// TestStartingSeedUsesNoDepartedSearchers guards against a seed that starts after the store
+// was restored, reads its list before it hears from the other daemons, and uses searchers
+// of which the store has lost that they drain or have left.
+func TestStartingSeedUsesNoDepartedSearchers(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	tier := newTier(t, nil)
+	older := tier.Store.Copy()
+	searchers := departedSearchers(tier)
+	time.Sleep(2 * time.Second)
+	restored := time.Now()
+	restore(tier, older, 100*time.Millisecond)
+	time.Sleep(500 * time.Millisecond)
+	tier.Config.Network = func(n dialer.Network) dialer.Network {
+		return dialer.Network{Dial: n.Dial, ListenPacket: func(network, address string) (net.PacketConn, error) {
+			c, err := n.ListenPacket(network, address)
+			return deafConn{PacketConn: c, until: time.Now().Add(time.Second)}, err
+		}}
+	}
+	for seed := range tier.Daemons {
+		tier.Daemons[seed].Kill()
+		is.NoErr(<-tier.Daemons[seed].RunErr)
+		_, err := tier.StartDaemon(seed, false)
+		is.NoErr(err)
+		eventually(t, "the seed is ready", tier.Daemons[seed].IsReady)
+		for range 30 {
+			_, reply := sendRequest(t, tier, seed, stager.SinglePath+"x")
+			is.Equal(reply.Status, http.StatusOK)
+		}
+	}
+	is.True(lastUse(searchers).Before(restored))
 }
 
 // TestRestoredStoreKeepsNewSearchers guards against searchers that are dropped because
