Content of a later era is fetched even if it is the same

Cause: a daemon that hears the head of its own content takes the position over and fetches nothing. One that was cut off while searchers left and the store was restored has just the restored store's content; the peers hide the searchers that left, and tell so with the document only. It used them until their old entries had expired (DRAIN). Class: what was learned from the lost changes travels with the content, and equal content seemed to need none. Change: a head of a later era is fetched, once for each restore. Measured: TestSameContentOfLaterEraIsFetched failed before (the head counted as the same) and passes.

--- a/internal/follower/document_peers.go
+++ b/internal/follower/document_peers.go
@@ -65,14 +65,13 @@
 	head := received.head
 	confirmed := now.Add(-time.Duration(head.GetAgeMillis()) * time.Millisecond)
 	d.mu.Lock()
-	if head.GetDigest() == d.digest {
+	// The same content of a later era is fetched: the reply also tells what the peers know
+	// of the changes that the store has lost.
+	if head.GetDigest() == d.digest && head.GetEra() == d.position.Era {
 		before := d.refresh.ConfirmedAt()
 		d.refresh.RecordPeerConfirmation(confirmed)
-		restored := d.advance(positionOf(head))
+		d.advance(positionOf(head))
 		d.mu.Unlock()
-		if restored {
-			d.onRestored(now)
-		}
 		d.onConfirmed(now, before)
 		return true, false
 	}
--- a/internal/follower/document_test.go
+++ b/internal/follower/document_test.go
@@ -194,3 +194,29 @@
 	d.applyRead(entries, platform.Position{Era: 2, Revision: 3}, true)
 	is.Equal(restored, 1)
 }
+
+// TestSameContentOfLaterEraIsFetched guards against a daemon that was cut off while servers
+// left and the store was restored: its content is that of the restored store, and only a
+// fetched document tells it which servers the peers hide.
+func TestSameContentOfLaterEraIsFetched(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	peer, cutOff := newReadAndEmptyDocuments(t, 1)
+	restored := 0
+	cutOff.onRestored = func(time.Time) { restored++ }
+	content := []platform.Entry[string]{{Name: "a", Value: "1"}}
+	cutOff.applyRead(content, platform.Position{Era: 1, Revision: 50}, true)
+	peer.applyRead(content, platform.Position{Era: 2, Revision: 50}, true)
+	now := time.Now()
+	received := peerHead{from: "peer", head: peer.head(now)}
+	same, behind := cutOff.handlePeerHead(now, received)
+	is.True(!same)
+	is.True(behind)
+	reply, err := peer.reply()
+	is.NoErr(err)
+	is.True(cutOff.handleFetchReply(now, reply, 0))
+	is.Equal(restored, 1)
+	same, behind = cutOff.handlePeerHead(now, received)
+	is.True(same)
+	is.True(!behind)
+}
