--- a/internal/soaker/faults.go
+++ b/internal/soaker/faults.go
@@ -24,7 +24,7 @@
 func (s *Soak) injectFaults(ctx context.Context) {
 	var wait sync.WaitGroup
 	for end := time.Now().Add(faultPhase); time.Now().Before(end) && ctx.Err() == nil; {
-		startFault := pick(s, s.killProcess, s.killProcess, s.suspendProcess, s.terminateProcess, s.faultStoreConnections, s.faultStore, s.restoreStore, s.faultSearcherConnections, s.faultSearcher, s.faultSearcher)
+		startFault := pick(s, s.killProcess, s.killProcess, s.suspendProcess, s.terminateProcess, s.faultStoreConnections, s.faultStore, s.restoreStore, s.faultSearcherConnections, s.faultSearcher, s.faultSearcher, s.limitSearcher)
 		runFault := startFault()
 		wait.Add(1)
 		go func() {
@@ -150,6 +150,21 @@
 	}
 }
 
+// limitSearcher makes a searcher name a rate limit for a while, so that daemons that stop,
+// start or are suspended meanwhile have old news of limits to tell.
+func (s *Soak) limitSearcher() func() {
+	b, perSecond, duration := pick(s, s.tier.Backends...), s.randomRateLimit(), s.randomDuration(300*time.Millisecond, 4*time.Second)
+	return func() {
+		s.logf("searcher %s: limit of %.1f requests a second for %v", b.Server.Instance, perSecond, duration)
+		b.SetRateLimit(perSecond)
+		time.Sleep(duration)
+		b.SetRateLimit(0)
+	}
+}
+
+// randomRateLimit returns a rate limit in requests a second.
+func (s *Soak) randomRateLimit() float64 { return 1 + s.rng.Float64()*20 }
+
 // rewriteTime is the time within which the operator and the searchers write again what a
 // restored store has lost.
 const rewriteTime = 1500 * time.Millisecond
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -345,7 +345,7 @@
 // checkRateLimit makes a searcher name a rate limit and requires that all processes
 // together keep to it.
 func (s *Soak) checkRateLimit() {
-	b, perSecond := s.tier.Backends[s.rng.IntN(len(s.tier.Backends))], 1+s.rng.Float64()*20
+	b, perSecond := s.tier.Backends[s.rng.IntN(len(s.tier.Backends))], s.randomRateLimit()
 	b.SetRateLimit(perSecond)
 	time.Sleep(limitSettle + limitWindow)
 	allowed := limitTolerance*perSecond*limitWindow.Seconds() + limitSlack
