--- a/internal/stager/tier_restore_test.go
+++ b/internal/stager/tier_restore_test.go
@@ -99,16 +99,24 @@
 	})
 }
 
-// departedSearchers lets one searcher drain and another leave, and returns both. A copy of
-// the store that is made before has neither.
-func departedSearchers(tier *stager.Tier) []*emulator.Backend {
-	searchers := backendsOf(tier, singles)[:2]
-	drained := searchers[0].Server
-	drained.Draining = true
-	tier.Register(drained)
+// loseDepartures lets one searcher drain and another leave, and restores the store from a
+// copy in which they had not. It returns both and the time of the restore.
+func loseDepartures(tier *stager.Tier) (searchers []*emulator.Backend, restored time.Time) {
+	older := tier.Store.Copy()
+	searchers = backendsOf(tier, singles)[:2]
+	registerDraining(tier, searchers[0])
 	tier.Store.Delete(platform.ObjectKindServer, searchers[1].Server.Instance)
 	writeRevisions(tier, lostRevisions)
-	return searchers
+	time.Sleep(2 * time.Second)
+	restored = time.Now()
+	restore(tier, older, 100*time.Millisecond)
+	return searchers, restored
+}
+
+func registerDraining(tier *stager.Tier, b *emulator.Backend) {
+	drained := b.Server
+	drained.Draining = true
+	tier.Register(drained)
 }
 
 // lastUse returns when the last request reached one of the searchers.
@@ -124,11 +132,7 @@
 	t.Parallel()
 	is := is.New(t)
 	tier := newTier(t, nil)
-	older := tier.Store.Copy()
-	searchers := departedSearchers(tier)
-	time.Sleep(2 * time.Second)
-	restored := time.Now()
-	restore(tier, older, 100*time.Millisecond)
+	searchers, restored := loseDepartures(tier)
 	// Within two seconds the draining one says so again; within three heartbeats the
 	// entry of the other expires.
 	for until := time.Now().Add(1500 * time.Millisecond); time.Now().Before(until); {
@@ -137,9 +141,7 @@
 			is.Equal(reply.Status, http.StatusOK)
 		}
 	}
-	drained := searchers[0].Server
-	drained.Draining = true
-	tier.Register(drained)
+	registerDraining(tier, searchers[0])
 	time.Sleep(2 * time.Second)
 	for range 20 {
 		sendRequest(t, tier, 0, stager.SinglePath+"x")
@@ -169,11 +171,7 @@
 	t.Parallel()
 	is := is.New(t)
 	tier := newTier(t, nil)
-	older := tier.Store.Copy()
-	searchers := departedSearchers(tier)
-	time.Sleep(2 * time.Second)
-	restored := time.Now()
-	restore(tier, older, 100*time.Millisecond)
+	searchers, restored := loseDepartures(tier)
 	time.Sleep(500 * time.Millisecond)
 	tier.Config.Network = func(n dialer.Network) dialer.Network {
 		return dialer.Network{Dial: n.Dial, ListenPacket: func(network, address string) (net.PacketConn, error) {
