--- a/review/harness-2/split.go
+++ b/review/harness-2/split.go
@@ -6,8 +6,9 @@
 	"time"
 )
 
-// The case split: half of the daemons are cut off from the other half for more than a minute;
-// all of them reach the store, the searchers and the clients. Then a burst of requests comes.
+// The case split: the daemons of each failure domain are cut off from those of the others for
+// more than a minute; all of them reach the store, the searchers and the clients. Then a burst of
+// requests comes.
 const (
 	splitLasts    = 72 * time.Second
 	splitBurstFor = 3 * time.Second
@@ -26,7 +27,7 @@
 		}
 	}
 	network := 100 + os.Getpid()%100
-	r, err := newRelay(network, 7740, daemonCount, func(daemon int) int { return daemon % 2 })
+	r, err := newRelay(network, 7740, daemonCount, func(daemon int) int { return daemon % len(zones) })
 	if err != nil {
 		return false, err
 	}
@@ -55,7 +56,7 @@
 	}
 	time.Sleep(6 * time.Second)
 	if w.trouble {
-		w.record.say("the halves are cut off from each other")
+		w.record.say("the failure domains are cut off from each other")
 		r.cut()
 	}
 	time.Sleep(splitLasts - forgetRamp - 11*time.Second)
