--- a/review/harness-3/main.go
+++ b/review/harness-3/main.go
@@ -170,4 +170,3 @@
 	}
 	return total
 }
-
