--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -35,7 +35,7 @@
 	program := flag.String("program", "target/fuchsiastile", "the daemon's `program`")
 	path := flag.String("record", "record.txt", "the `file` for the record")
 	flag.Parse()
-	cases := map[string]func(*world) (bool, error){"forget": playForget, "encoded": playEncoded, "split": playSplit, "moved": playMoved, "stop": playStop}
+	cases := map[string]func(*world) (bool, error){"forget": playForget, "encoded": playEncoded, "split": playSplit, "moved": playMoved, "stop": playStop, "foreign": playForeign}
 	play, ok := cases[*name]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "unknown case", *name)
--- a/review/harness-2/store.go
+++ b/review/harness-2/store.go
@@ -1,8 +1,10 @@
 package main
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sort"
@@ -19,6 +21,12 @@
 	expiryBeats = 3
 )
 
+// A page of a list has about this much at most.
+const (
+	pageObjects = 500
+	pageBytes   = 1 << 20
+)
+
 type object struct {
 	kind, name string
 	revision   uint64
@@ -43,7 +51,9 @@
 	record   *record
 	listener net.Listener
 	server   *http.Server
-	stop     chan struct{}
+	// plainText leaves <, > and & in texts as they are, where Go would escape them.
+	plainText bool
+	stop      chan struct{}
 }
 
 func newStore(address string, r *record) (*store, error) {
@@ -84,10 +94,7 @@
 
 // put creates or replaces an object. An entry that differs in seq alone raises no event.
 func (s *store) put(kind, name string, spec any) uint64 {
-	data, err := json.Marshal(spec)
-	if err != nil {
-		panic(err)
-	}
+	data := s.marshal(spec)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	key := kind + "/" + name
@@ -107,6 +114,20 @@
 	return s.revision
 }
 
+func (s *store) newEncoder(w io.Writer) *json.Encoder {
+	out := json.NewEncoder(w)
+	out.SetEscapeHTML(!s.plainText)
+	return out
+}
+
+func (s *store) marshal(spec any) json.RawMessage {
+	var out bytes.Buffer
+	if err := s.newEncoder(&out).Encode(spec); err != nil {
+		panic(err)
+	}
+	return bytes.TrimSpace(out.Bytes())
+}
+
 func withoutSeq(spec json.RawMessage) string {
 	var fields map[string]any
 	if json.Unmarshal(spec, &fields) != nil {
@@ -169,16 +190,18 @@
 		}
 	}
 	sort.Strings(names)
-	more := len(names) > 500
-	if more {
-		names = names[:500]
-	}
+	more, size := false, 0
 	for _, name := range names {
-		items = append(items, encode(s.objects[kind+"/"+name]))
+		o := s.objects[kind+"/"+name]
+		if size += len(o.spec); len(items) == pageObjects || size > pageBytes && len(items) > 0 {
+			more = true
+			break
+		}
+		items = append(items, encode(o))
 	}
 	asOf := s.revision
 	s.mu.Unlock()
-	_ = json.NewEncoder(w).Encode(map[string]any{"items": items, "hasMore": more, "asOf": asOf})
+	_ = s.newEncoder(w).Encode(map[string]any{"items": items, "hasMore": more, "asOf": asOf})
 }
 
 func (s *store) watch(w http.ResponseWriter, r *http.Request, kind, text string) {
@@ -201,13 +224,13 @@
 		asOf, changed := s.revision, s.changed
 		s.mu.Unlock()
 		if len(events) > 0 {
-			_ = json.NewEncoder(w).Encode(map[string]any{"events": events, "asOf": asOf})
+			_ = s.newEncoder(w).Encode(map[string]any{"events": events, "asOf": asOf})
 			return
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			_ = json.NewEncoder(w).Encode(map[string]any{"events": events, "asOf": asOf})
+			_ = s.newEncoder(w).Encode(map[string]any{"events": events, "asOf": asOf})
 			return
 		case <-r.Context().Done():
 			return
