Replies with an invalid status reach no caller

Callers saw: a searcher's reply with status 999 was forwarded as its failure, and a request whose searcher answered with 000 or 099 got 504 at its deadline instead of a second searcher's answer. Where a whole reply followed, that one was taken as the answer.

Cause: the exchanger took every status below 200 for an interim reply and waited for the final one, and 600 to 999 for a failure that may be forwarded. net/http checks only that the status has three characters and is no negative number. 101 counted as interim as well, although no request asks to switch protocols. The callers' Go client took the outcome from the body, whatever the status.

Change: package validator; the exchanger, the gateways' sender, the clients of the store and of the platform, the status command and the callers' client reject a reply whose status is outside of 100 to 599 or is 101. Its attempt has failed at once, may have run, and its connection closes.

The status is checked before anything else of the reply is used, in every place that reads replies, so that no later rule has to expect such a value.

--- a/internal/emulator/backend.go
+++ b/internal/emulator/backend.go
@@ -1,6 +1,7 @@
 package emulator
 
 import (
+	"cmp"
 	"context"
 	"encoding/binary"
 	"fmt"
@@ -37,6 +38,8 @@
 	Early bool `json:"early"`
 	// ForgetIdle closes each connection shortly after its reply, without a Connection: close header.
 	ForgetIdle bool `json:"forgetIdle"`
+	// StatusCode is sent in the status line of each reply, such as 000; empty sends 200.
+	StatusCode string `json:"statusCode"`
 }
 
 // BackendStats counts what an emulated backend server received and executed.
@@ -202,7 +205,7 @@
 	switch {
 	case faults.Fail:
 		w.WriteHeader(http.StatusInternalServerError)
-	case faults.Reset, faults.Truncate, faults.Unframed, faults.Extra, faults.ForgetIdle:
+	case faults.Reset, faults.Truncate, faults.Unframed, faults.Extra, faults.ForgetIdle, faults.StatusCode != "":
 		b.writeFaultyReply(w, request, faults, body)
 	default:
 		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
@@ -222,7 +225,7 @@
 	header := func(id string, length int) string {
 		h := http.Header{}
 		platform.WriteServerStamp(h, id, b.Stamp(id))
-		text := "HTTP/1.1 200 OK\r\n"
+		text := "HTTP/1.1 " + cmp.Or(faults.StatusCode, "200") + " OK\r\n"
 		for name, values := range h {
 			text += name + ": " + values[0] + "\r\n"
 		}
@@ -248,6 +251,9 @@
 	case faults.ForgetIdle:
 		_, _ = fmt.Fprintf(conn, "%s%s", header(request.ID, len(body)), body)
 		time.Sleep(faultDelay)
+	case faults.StatusCode != "":
+		_, _ = fmt.Fprintf(conn, "%s%s", header(request.ID, len(body)), body)
+		_, _ = io.Copy(io.Discard, conn) // until the caller closes
 	}
 }
 
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -15,6 +15,7 @@
 
 	"github.com/fuchsiastile/fuchsiastile/internal/dialer"
 	"github.com/fuchsiastile/fuchsiastile/internal/failer"
+	"github.com/fuchsiastile/fuchsiastile/internal/validator"
 )
 
 // Kind classifies an Error.
@@ -199,6 +200,9 @@
 		if err != nil {
 			return Reply{}, false, err
 		}
+		if err := validator.Reply(response); err != nil {
+			return Reply{}, false, err
+		}
 		c.limit.N = maxBodyWireBytes
 		// A body that is not read to its end is not closed, since Close would read the
 		// rest of it; the connection is closed instead.
--- a/internal/exchanger/exchanger_test.go
+++ b/internal/exchanger/exchanger_test.go
@@ -194,6 +194,31 @@
 	}
 }
 
+// TestInvalidStatusEndsExchange covers servers that reply with a status that HTTP does
+// not define, or that switch protocols without being asked to, and leave the connection
+// open: the exchange must end at once, and what follows must not be taken for the reply.
+func TestInvalidStatusEndsExchange(t *testing.T) {
+	t.Parallel()
+	for _, status := range []string{"000", "007", "099", "+99", "101", "600", "999"} {
+		for name, rest := range map[string]string{"silence": "", "a reply": formatReply("mine", "late")} {
+			t.Run(status+" and "+name, func(t *testing.T) {
+				t.Parallel()
+				is := is.New(t)
+				s := newScriptedServer(t, func(c net.Conn, _ int64) {
+					writeString(c, "HTTP/1.1 "+status+" X\r\nId: mine\r\nContent-Length: 0\r\n\r\n"+rest)
+				})
+				f := newFixture(s.address, 1)
+				ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+				defer cancel()
+				_, err := f.doConnected(ctx, f.target)
+				is.True(failer.Is(err, exchanger.KindReplyLost))
+				is.NoErr(ctx.Err()) // before the deadline
+				is.Equal(f.ConnectionCount(), 0)
+			})
+		}
+	}
+}
+
 func TestReplyWithoutContentLength(t *testing.T) {
 	is := is.New(t)
 	s := newScriptedServer(t, func(c net.Conn, _ int64) {
--- a/internal/fetcher/fetcher.go
+++ b/internal/fetcher/fetcher.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/dghubble/sling"
+
+	"github.com/fuchsiastile/fuchsiastile/internal/validator"
 )
 
 // Response is an HTTP response with its body.
@@ -32,6 +34,9 @@
 		return Response{}, err
 	}
 	defer func() { _ = response.Body.Close() }()
+	if err := validator.Reply(response); err != nil {
+		return Response{}, err
+	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxBytes))
 	return Response{Status: response.StatusCode, Header: response.Header, Body: body}, err
 }
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -20,6 +20,7 @@
 	"github.com/fuchsiastile/fuchsiastile/internal/daemon"
 	"github.com/fuchsiastile/fuchsiastile/internal/failer"
 	"github.com/fuchsiastile/fuchsiastile/internal/publisher"
+	"github.com/fuchsiastile/fuchsiastile/internal/validator"
 	"github.com/fuchsiastile/fuchsiastile/pkg/declarer"
 )
 
@@ -169,7 +170,9 @@
 		if err != nil {
 			return out, failer.Wrap("request status of "+address, KindDaemonUnavailable, err)
 		}
-		err = json.NewDecoder(response.Body).Decode(&status)
+		if err = validator.Reply(response); err == nil {
+			err = json.NewDecoder(response.Body).Decode(&status)
+		}
 		_ = response.Body.Close()
 		if err != nil {
 			return out, failer.Wrap("request status of "+address, KindDaemonUnavailable, err)
--- a/internal/sender/request.go
+++ b/internal/sender/request.go
@@ -13,6 +13,7 @@
 
 	"github.com/fuchsiastile/fuchsiastile/internal/framer"
 	"github.com/fuchsiastile/fuchsiastile/internal/messenger"
+	"github.com/fuchsiastile/fuchsiastile/internal/validator"
 )
 
 // maxRequestHeaders is the maximum number of headers of a request, used to size its
@@ -107,6 +108,9 @@
 		return classifyError(err, request.Once && !gotConn.Load())
 	}
 	defer func() { _ = response.Body.Close() }()
+	if validator.Reply(response) != nil {
+		return badReply(&messenger.ShardResult{})
+	}
 	return s.readReply(c, request, response)
 }
 
--- a/pkg/caller/client.go
+++ b/pkg/caller/client.go
@@ -12,6 +12,7 @@
 	"github.com/dghubble/sling"
 
 	"github.com/fuchsiastile/fuchsiastile/internal/failer"
+	"github.com/fuchsiastile/fuchsiastile/internal/validator"
 )
 
 // Kind classifies an Error.
@@ -75,6 +76,9 @@
 		return "", failer.Wrap(op, KindNotRun, err)
 	}
 	defer func() { _ = response.Body.Close() }()
+	if err := validator.Reply(response); err != nil {
+		return "", failer.Wrap(op, KindNotRun, err)
+	}
 	var reply TicketResponse
 	if err := json.NewDecoder(io.LimitReader(response.Body, maxBodyBytes)).Decode(&reply); err != nil {
 		return "", failer.Wrap(op, KindNotRun, err)
@@ -101,6 +105,9 @@
 		return Answer{Outcome: OutcomeUnknown}, failer.Wrap(op, KindUnknown, err)
 	}
 	defer func() { _ = response.Body.Close() }()
+	if err := validator.Reply(response); err != nil {
+		return Answer{Outcome: OutcomeUnknown}, failer.Wrap(op, KindUnknown, err)
+	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxBodyBytes))
 	if err != nil {
 		return Answer{Outcome: OutcomeUnknown}, failer.Wrap(op, KindUnknown, err)
