Replies with an invalid header line reach no caller

Callers saw: a searcher's reply in whose head the name of a field held a space was delivered as a success, without that field. Where the field was Content-Length or Transfer-Encoding the body was framed wrongly: it held a second reply, or chunk headers, and a scatter-gather answer held records that no searcher had sent. A line that began with a space became a part of the field before it.

Cause: http.ReadResponse reads such heads leniently (textproto skips a name that holds a space, and joins continued lines), and nobody looked at the lines after it. Names with control bytes, empty names and lines without a colon it rejects already; the tests stay.

Change: the exchanger checks each header line in the buffer before http.ReadResponse reads the head, and the names of a trailer after it; a head that exceeds the buffer gets a larger one, up to the limit of a head. The readers that use net/http's transport (sender, store, platform, status, callers' client) check the names that it returns.

The bytes themselves are checked, so that nothing depends on what the parser leaves out. What net/http's transport joins to a field before can't be told there; those readers check identity and digest, or a strict format, and pass no field on.

--- a/internal/emulator/backend.go
+++ b/internal/emulator/backend.go
@@ -40,6 +40,8 @@
 	ForgetIdle bool `json:"forgetIdle"`
 	// StatusCode is sent in the status line of each reply, such as 000; empty sends 200.
 	StatusCode string `json:"statusCode"`
+	// HeaderLine is added to the head of each reply as it is, valid or not.
+	HeaderLine string `json:"headerLine"`
 }
 
 // BackendStats counts what an emulated backend server received and executed.
@@ -205,7 +207,7 @@
 	switch {
 	case faults.Fail:
 		w.WriteHeader(http.StatusInternalServerError)
-	case faults.Reset, faults.Truncate, faults.Unframed, faults.Extra, faults.ForgetIdle, faults.StatusCode != "":
+	case faults.Reset, faults.Truncate, faults.Unframed, faults.Extra, faults.ForgetIdle, faults.StatusCode != "", faults.HeaderLine != "":
 		b.writeFaultyReply(w, request, faults, body)
 	default:
 		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
@@ -226,6 +228,9 @@
 		h := http.Header{}
 		platform.WriteServerStamp(h, id, b.Stamp(id))
 		text := "HTTP/1.1 " + cmp.Or(faults.StatusCode, "200") + " OK\r\n"
+		if faults.HeaderLine != "" {
+			text += faults.HeaderLine + "\r\n"
+		}
 		for name, values := range h {
 			text += name + ": " + values[0] + "\r\n"
 		}
@@ -241,6 +246,10 @@
 		}
 	case faults.Truncate:
 		_, _ = fmt.Fprintf(conn, "%s%s", header(request.ID, len(body)), body[:len(body)/2])
+	case faults.Unframed && faults.Extra:
+		// Without a length that the caller can read, the second reply is read as a part of
+		// the first one's body.
+		_, _ = fmt.Fprintf(conn, "%s%s%s%s", header(request.ID, -1), body, header("stray", len(body)), body)
 	case faults.Unframed:
 		_, _ = fmt.Fprintf(conn, "%s%s", header(request.ID, -1), body)
 	case faults.Extra:
@@ -251,7 +260,7 @@
 	case faults.ForgetIdle:
 		_, _ = fmt.Fprintf(conn, "%s%s", header(request.ID, len(body)), body)
 		time.Sleep(faultDelay)
-	case faults.StatusCode != "":
+	default:
 		_, _ = fmt.Fprintf(conn, "%s%s", header(request.ID, len(body)), body)
 		_, _ = io.Copy(io.Discard, conn) // until the caller closes
 	}
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -196,11 +196,14 @@
 func (c *conn) readReply(request Request, pool *bodyPool) (Reply, bool, error) {
 	for range maxStrayReplies + 1 {
 		c.limit.N = maxHeadBytes
+		if err := c.checkHead(); err != nil {
+			return Reply{}, false, err
+		}
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: request.Method})
 		if err != nil {
 			return Reply{}, false, err
 		}
-		if err := validator.Reply(response); err != nil {
+		if err := validator.Status(response.StatusCode); err != nil {
 			return Reply{}, false, err
 		}
 		c.limit.N = maxBodyWireBytes
@@ -211,6 +214,9 @@
 			return Reply{}, false, err
 		}
 		_ = response.Body.Close()
+		if err := validator.FieldNames(response.Trailer); err != nil {
+			return Reply{}, false, err
+		}
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
--- a/internal/stager/tier_malformed_test.go
+++ b/internal/stager/tier_malformed_test.go
@@ -18,6 +18,14 @@
 	"status 000": {StatusCode: "000"},
 	"status 099": {StatusCode: "099"},
 	"status 999": {StatusCode: "999"},
+
+	"blank in a name":      {HeaderLine: "X Filler: 1"},
+	"blank after a name":   {HeaderLine: "X-Filler : 1"},
+	"blank before a name":  {HeaderLine: " X-Filler: 1"},
+	"tab in a name":        {HeaderLine: "X\tFiller: 1"},
+	"control byte in name": {HeaderLine: "X\x01Filler: 1"},
+	"no name":              {HeaderLine: ": 1"},
+	"body framed wrongly":  {HeaderLine: "Content-Length : 400", Unframed: true, Extra: true},
 }
 
 // TestTierForwardsNoMalformedReplies checks that a malformed reply fails its attempt at
--- a/pkg/caller/client_test.go
+++ b/pkg/caller/client_test.go
@@ -47,6 +47,7 @@
 	}{
 		"valid":      {"HTTP/1.1 200 OK\r\n", true},
 		"status 000": {"HTTP/1.1 000 OK\r\n", false},
+		"blank name": {"HTTP/1.1 200 OK\r\nX Filler: 1\r\n", false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
