Endless replies stay within memory at gateways

Report: a faulty searcher sent bytes without end, in a head or a body; the machine that had called it kept them all and ran out of memory.

Cause: on the project's own interface the gateways' sender had no common limit for bodies (4 MB each) and left heads to net/http's transport, which accepts 10 MB for each connection and keeps several times as much for short lines.

Change: the exchanger's shared limit for long bodies becomes package accumulator, which the sender uses too; the sender's transport accepts heads of 16 KB. The exchanger gets a test with endless heads from all shards at once, which it passed before as well.

The limits hold for all requests of a daemon together, so that the number of faulty searchers doesn't matter.

--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"github.com/fuchsiastile/fuchsiastile/internal/accumulator"
 	"github.com/fuchsiastile/fuchsiastile/internal/dialer"
 	"github.com/fuchsiastile/fuchsiastile/internal/failer"
 	"github.com/fuchsiastile/fuchsiastile/internal/validator"
@@ -106,7 +107,7 @@
 	network dialer.Network
 	// onDial is called for each new connection.
 	onDial func()
-	bodies *bodyPool
+	bodies *accumulator.Accumulator
 
 	mu      sync.Mutex
 	servers map[string]*server
@@ -114,7 +115,7 @@
 
 // New returns an Exchanger without connections. It calls onDial for each new one.
 func New(network dialer.Network, onDial func()) *Exchanger {
-	return &Exchanger{network: network, onDial: onDial, bodies: newBodyPool(bodyPoolBytes), servers: map[string]*server{}}
+	return &Exchanger{network: network, onDial: onDial, bodies: accumulator.New(), servers: map[string]*server{}}
 }
 
 // Target identifies the server of a request.
@@ -193,7 +194,7 @@
 
 // readReply reads the reply to a request and skips stray ones, which belong to
 // other requests. It reports whether the connection can be reused.
-func (c *conn) readReply(request Request, pool *bodyPool) (Reply, bool, error) {
+func (c *conn) readReply(request Request, bodies *accumulator.Accumulator) (Reply, bool, error) {
 	for range maxStrayReplies + 1 {
 		c.limit.N = maxHeadBytes
 		if err := c.checkHead(); err != nil {
@@ -209,7 +210,7 @@
 		c.limit.N = maxBodyWireBytes
 		// A body that is not read to its end is not closed, since Close would read the
 		// rest of it; the connection is closed instead.
-		body, err := pool.read(response.Body)
+		body, err := bodies.Read(response.Body, maxReplyBytes)
 		if err != nil {
 			return Reply{}, false, err
 		}
--- a/internal/exchanger/exchanger_test.go
+++ b/internal/exchanger/exchanger_test.go
@@ -455,6 +455,54 @@
 	}
 }
 
+// TestEndlessHeadsOfAllShardsStayWithinMemory covers a query whose searchers all send heads
+// without end at the same time, in lines of several lengths.
+func TestEndlessHeadsOfAllShardsStayWithinMemory(t *testing.T) {
+	const shards, memoryLimit = 190, 136 << 20
+	for _, line := range []string{"X:\r\n", "X-%04d: 1\r\n", "X-Filler: 0123456789abcdef0123456789abcdef\r\n"} {
+		t.Run(line, func(t *testing.T) {
+			is := is.New(t)
+			var block []byte
+			for n := range 10_000 {
+				block = append(block, strings.Replace(line, "%04d", fmt.Sprintf("%04d", n), 1)...)
+			}
+			endless := newScriptedServer(t, func(conn net.Conn, _ int64) {
+				writeString(conn, "HTTP/1.1 200 OK\r\n")
+				for total := 0; total < endlessBytes; total += len(block) {
+					if _, err := conn.Write(block); err != nil {
+						return
+					}
+				}
+			})
+			f := newFixture(endless.address, shards)
+			ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+			defer cancel()
+			results := make(chan error, shards)
+			for range shards {
+				go func() {
+					_, err := f.doConnected(ctx, f.target)
+					results <- err
+				}()
+			}
+			peak := uint64(0)
+			for finished := 0; finished < shards; {
+				select {
+				case err := <-results:
+					is.True(failer.Is(err, exchanger.KindReplyLost))
+					finished++
+				case <-time.After(time.Millisecond):
+				}
+				var memory runtime.MemStats
+				runtime.ReadMemStats(&memory)
+				peak = max(peak, memory.HeapInuse)
+			}
+			is.NoErr(ctx.Err())
+			t.Logf("at most %d MB of heap in use", peak>>20)
+			is.True(peak < memoryLimit)
+		})
+	}
+}
+
 // TestEndlessBodiesOfAllShardsStayWithinMemory covers a query whose searchers all send
 // endless bodies at the same time: the heap must stay below the memory of the smallest VM
 // of the users' deployments, and sound replies must still be read beside them.
--- a/internal/sender/request.go
+++ b/internal/sender/request.go
@@ -149,8 +149,8 @@
 	if response.StatusCode != http.StatusOK || !request.Echoes(h) {
 		return badReply(out)
 	}
-	hits, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes+1))
-	if err != nil || len(hits) > maxReplyBytes {
+	hits, err := s.bodies.Read(response.Body, maxReplyBytes)
+	if err != nil {
 		return badReply(out)
 	}
 	if framer.Digest(hits) != h.Get(framer.HeaderDigest) {
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -10,6 +10,7 @@
 
 	"github.com/puzpuzpuz/xsync/v4"
 
+	"github.com/fuchsiastile/fuchsiastile/internal/accumulator"
 	"github.com/fuchsiastile/fuchsiastile/internal/admitter"
 	"github.com/fuchsiastile/fuchsiastile/internal/dialer"
 	"github.com/fuchsiastile/fuchsiastile/internal/messenger"
@@ -18,6 +19,9 @@
 const (
 	// maxReplyBytes is the maximum size of a backend server's reply.
 	maxReplyBytes = 4 << 20
+	// maxHeadBytes is the maximum size of a reply's head, whose headers package framer
+	// defines. The default of net/http is 10 MB for each connection.
+	maxHeadBytes = 16 << 10
 	// dialTimeout bounds the time to open a connection.
 	dialTimeout = 500 * time.Millisecond
 	// warmDuration is how long after a request a connection is assumed to be still open.
@@ -74,6 +78,8 @@
 	// connections holds the connection count of each searcher that this daemon is
 	// or was a gateway of.
 	connections *xsync.Map[string, *connections]
+	// bodies reads the bodies of all replies.
+	bodies *accumulator.Accumulator
 	// activeCalls is the number of submitted calls that have not finished.
 	activeCalls atomic.Int64
 	// stopAccepting is set while the daemon stops.
@@ -88,6 +94,7 @@
 		config:    config,
 		upstreams: xsync.NewMap[string, *upstream](),
 		calls:     xsync.NewMap[uint64, *call](),
+		bodies:    accumulator.New(),
 
 		connections: xsync.NewMap[string, *connections](),
 	}
--- a/internal/sender/upstream.go
+++ b/internal/sender/upstream.go
@@ -68,6 +68,8 @@
 			MaxIdleConnsPerHost: budget,
 			IdleConnTimeout:     idleTimeout,
 			DisableCompression:  true,
+
+			MaxResponseHeaderBytes: maxHeadBytes,
 		},
 	}
 }
