A stopping daemon answers every request that it has read

Report: in a planned stop of one machine, requests that came late in the grace period were taken and passed on; at its end they were cut without an answer, also requests that must not run twice (LOST).

Cause: the responder read bodies and started queries without asking how much of the grace period was left, and the supervisor closed the callers' connections 0.4 s before its end, whatever was in progress.

Change: the stop has a schedule (responder.Stop). Until the load balancer has left, all requests are executed as before. A request that is complete later, as its body came slowly, is executed if its latency objective fits into the time left, and refused as not run otherwise; its retry reaches another daemon. 0.6 s before the end of the grace period the queries in progress are ended (gatherer: Expire) and answered with what they have.

Whatever a query waits for, its end is now an event of its own before the connections close, and the work that can't be done is refused while that is still a true promise.

--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -19,6 +19,8 @@
 	Perform func(gatherer.Actions) bool
 	// Deliver processes the result of a shard request and reports whether the query has ended.
 	Deliver func(R) bool
+	// Expired is closed when the query must end before its deadline; nil if it never must.
+	Expired <-chan struct{}
 	// CancelAll cancels all requests in flight.
 	CancelAll func()
 }
@@ -49,6 +51,8 @@
 		case <-wake:
 			due = time.Time{}
 			done = d.Perform(d.Query.Wake(time.Now()))
+		case <-d.Expired:
+			done = d.Perform(d.Query.Expire(time.Now()))
 		case <-ctx.Done():
 			d.CancelAll()
 			done = true
--- a/internal/gatherer/finish.go
+++ b/internal/gatherer/finish.go
@@ -39,7 +39,7 @@
 
 func (q *Query) finished(now time.Time) bool {
 	switch {
-	case q.answered == len(q.shards), !now.Before(q.config.Deadline):
+	case q.answered == len(q.shards), q.expired, !now.Before(q.config.Deadline):
 		return true
 	case q.countPending() == 0, q.answered+q.countPending() < q.config.RequiredShards:
 		return true
--- a/internal/gatherer/gatherer.go
+++ b/internal/gatherer/gatherer.go
@@ -56,6 +56,8 @@
 	// cancelledInFlight is set once a request has been cancelled in flight, so
 	// that its outcome is unknown.
 	cancelledInFlight bool
+	// expired is set once the query must end with whatever it has.
+	expired bool
 }
 
 // New returns a query that has not been started.
@@ -286,6 +288,15 @@
 	}
 }
 
+// Expire ends the query as its deadline would.
+func (q *Query) Expire(now time.Time) Actions {
+	if q.done {
+		return Actions{Done: true}
+	}
+	q.expired = true
+	return q.finishIfDone(now, Actions{})
+}
+
 func (q *Query) scheduleHedge(t time.Time) {
 	if q.hedgeAt.IsZero() || t.Before(q.hedgeAt) {
 		q.hedgeAt = t
--- a/internal/gatherer/gatherer_test.go
+++ b/internal/gatherer/gatherer_test.go
@@ -96,6 +96,20 @@
 	is.True(a.MayHaveRun)
 }
 
+// TestExpiredQueryAnswersWithWhatItHas ends a query long before its deadline.
+func TestExpiredQueryAnswersWithWhatItHas(t *testing.T) {
+	is := is.New(t)
+	q := gatherer.New(newConfig(newPlan("v1", 3)))
+	first := q.Start(start)
+	q.Deliver(start, answeredReply(first.Sends[1]))
+	end := q.Expire(start)
+	is.True(end.Done)
+	is.Equal(len(end.Sends), 0)
+	is.Equal(len(end.Cancels), 2)
+	is.Equal(q.Answer().Answered, 1)
+	is.True(q.Expire(start).Done)
+}
+
 func TestQueryEndsAtTargetCoverage(t *testing.T) {
 	is := is.New(t)
 	c := newConfig(newPlan("v1", 4))
--- a/internal/responder/responder.go
+++ b/internal/responder/responder.go
@@ -81,9 +81,11 @@
 	// other daemons of the failure domain.
 	SendReport  func([]reporter.Observation) (isCollector bool)
 	SendSummary func(reporter.Summary)
-	// Stopping reports whether the daemon is shutting down; responses then ask the
-	// callers to close their connections.
-	Stopping func() bool
+	// Stop returns the schedule of the daemon's shutdown; nil while it runs. Responses ask
+	// the callers to close their connections as soon as there is one.
+	Stop func() *Stop
+	// Expired is closed at Stop.AnswerBy.
+	Expired <-chan struct{}
 	// DisabledPolicies lists policies to disable, for comparison measurements.
 	DisabledPolicies []Policy
 	Metrics          *Metrics
@@ -223,7 +225,7 @@
 	} else {
 		resp = r.execute(request, c)
 	}
-	if r.config.Stopping() {
+	if r.config.Stop() != nil {
 		w.Header().Set("Connection", "close")
 	}
 	if resp.callerLeft {
@@ -271,6 +273,9 @@
 	if errorResponse := c.readBody(w, request, limits.BodyBytes); errorResponse != nil {
 		return c, errorResponse
 	}
+	if stop := r.config.Stop(); stop != nil && !stop.accepts(time.Now(), route.Objective) {
+		return c, newErrorResponse(http.StatusServiceUnavailable, "the daemon is stopping").withRetryAfter(unavailableRetryAfter)
+	}
 	c.deadline = c.arrived.Add(c.timeout(request.Header) - responseReserve)
 	return c, nil
 }
--- a/internal/responder/runner.go
+++ b/internal/responder/runner.go
@@ -104,6 +104,7 @@
 		Results:   run.results,
 		Perform:   run.apply,
 		Deliver:   run.handleResult,
+		Expired:   r.config.Expired,
 		CancelAll: run.cancelAll,
 	}.Run(run.ctx)
 	return run.response()
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -49,6 +49,9 @@
 	// stopMargin is subtracted from the platform's stop grace period, so that the
 	// process exits before the platform kills it.
 	stopMargin = 400 * time.Millisecond
+	// answerTime is the time before that in which the responses are sent to requests that
+	// the end of the grace period has ended.
+	answerTime = 200 * time.Millisecond
 	// settingsInterval is how often the settings file's modification time is
 	// checked, so that changes are detected without a signal too.
 	settingsInterval = 2 * time.Second
@@ -79,10 +82,12 @@
 	scheduler *scheduler.Scheduler
 	follower  *follower.Follower
 	responder *responder.Responder
-	// Stop sets stopping and closes stopRequested.
-	stopping      atomic.Bool
+	// Stop sets stop, which is nil until then, and closes stopRequested.
+	stop          atomic.Pointer[responder.Stop]
 	stopRequested chan struct{}
 	stopOnce      sync.Once
+	// expired is closed when the requests in progress must end because of the stop.
+	expired chan struct{}
 	// Kill closes killed, so that Run returns without a graceful stop.
 	killed   chan struct{}
 	killOnce sync.Once
@@ -109,7 +114,7 @@
 	}
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(softMemoryLimitRatio * float64(settings.MemoryBytes)))
-	s := &Supervisor{config: config, metrics: vm.NewSet(), scheduler: scheduler.New(), idleCloser: newIdleCloser(), stopRequested: make(chan struct{}), killed: make(chan struct{}), reloadRequested: make(chan struct{}, 1)}
+	s := &Supervisor{config: config, metrics: vm.NewSet(), scheduler: scheduler.New(), idleCloser: newIdleCloser(), stopRequested: make(chan struct{}), expired: make(chan struct{}), killed: make(chan struct{}), reloadRequested: make(chan struct{}, 1)}
 	s.settings.Store(&settings)
 	storeCalls := s.metrics.NewCounter("platformCallsTotal")
 	s.follower, err = follower.New(follower.Config{
@@ -138,7 +143,8 @@
 		Scheduler: s.scheduler,
 		State:     s.follower.State,
 		Ready:     s.follower.Ready(),
-		Stopping:  s.stopping.Load,
+		Stop:      s.stop.Load,
+		Expired:   s.expired,
 
 		OnDisplaced:      s.follower.AnnounceDisplaced,
 		SendReport:       s.follower.SendReport,
@@ -213,7 +219,7 @@
 }
 
 // IsReady reports whether the load balancer may route callers to this daemon.
-func (s *Supervisor) IsReady() bool { return !s.stopping.Load() && s.follower.State().Ready() }
+func (s *Supervisor) IsReady() bool { return s.stop.Load() == nil && s.follower.State().Ready() }
 
 func (s *Supervisor) handleReadiness(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == platform.ReadyPath && s.IsReady() {
@@ -229,8 +235,14 @@
 
 // Stop begins a graceful stop; Run returns when it is complete.
 func (s *Supervisor) Stop() {
-	s.stopping.Store(true)
-	s.stopOnce.Do(func() { close(s.stopRequested) })
+	s.stopOnce.Do(func() {
+		now, answerWithin := time.Now(), s.settings.Load().Bounds.StopGracePeriod-stopMargin-answerTime
+		s.stop.Store(&responder.Stop{
+			AcceptUntil: now.Add(min(lameDuckPeriod, answerWithin/2)),
+			AnswerBy:    now.Add(answerWithin),
+		})
+		close(s.stopRequested)
+	})
 }
 
 // Kill makes Run return without a graceful stop, as after a crash.
@@ -284,7 +296,8 @@
 
 // awaitStop waits for Stop or Kill. After Stop it stops the daemon gracefully: the
 // daemon, which already reports not ready, keeps serving until the load balancer has
-// removed it, then accepts no more requests and waits for those in flight.
+// removed it, then accepts no more connections and waits for the requests in flight. At
+// the end of the grace period these end with whatever answer they have.
 func (s *Supervisor) awaitStop(ctx context.Context) error {
 	select {
 	case <-s.stopRequested:
@@ -293,12 +306,12 @@
 	case <-ctx.Done():
 		return nil
 	}
-	stopStart := time.Now()
-	grace := s.settings.Load().Bounds.StopGracePeriod
-	klog.InfoS("daemon is stopping", "graceMillis", grace.Milliseconds())
+	stop, stopStart := s.stop.Load(), time.Now()
+	klog.InfoS("daemon is stopping", "answerWithinMillis", time.Until(stop.AnswerBy).Milliseconds())
+	s.scheduler.At(stop.AnswerBy, func(time.Time) { close(s.expired) })
 	s.follower.Leave()
-	scheduler.Sleep(ctx, min(lameDuckPeriod, grace/2))
-	shutdownCtx, cancel := context.WithDeadline(ctx, stopStart.Add(grace-stopMargin))
+	scheduler.Sleep(ctx, time.Until(stop.AcceptUntil))
+	shutdownCtx, cancel := context.WithDeadline(ctx, stop.AnswerBy.Add(answerTime))
 	defer cancel()
 	if err := s.callerServer.Shutdown(shutdownCtx); err != nil {
 		klog.InfoS("requests still in flight when the stop grace period ended", "cause", err.Error(), "afterMillis", time.Since(stopStart).Milliseconds())
