A stopping daemon of the project's own interface refuses what it can't finish

Report: requests that came late in the grace period of a planned stop were cut without an answer. The project's own interface had the same fault as the platform's.

Cause: after shutdown.leaveBalancer the daemon went on taking requests whose bodies were complete at any time, and at the end of shutdown.finish it closed the callers' connections, whatever was in progress.

Change: from then on a request whose timeout ends later than the daemon is refused with the problem "stopping" (503). The searches still in progress are ended 0.2 s before the end and answered with the coverage that they have.

Every request that is taken now ends before the daemon does, as its class bounds it. A non-idempotent request that was taken before with a longer deadline may still be cut; its ticket tells the outcome at the successor.

--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -171,6 +171,8 @@
 		return http.StatusRequestEntityTooLarge, string(KindBodyTooLarge)
 	case hasKind(err, KindOverloaded):
 		return http.StatusServiceUnavailable, string(KindOverloaded)
+	case hasKind(err, KindStopping):
+		return http.StatusServiceUnavailable, string(KindStopping)
 	case hasKind(err, KindTicketNeeded):
 		return http.StatusPreconditionRequired, string(KindTicketNeeded)
 	case hasKind(err, planner.KindUnknownClass):
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -52,6 +52,7 @@
 	KindInvalidRequest Kind = "invalidRequest"
 	KindTicketNeeded   Kind = "ticketNeeded"
 	KindBodyTooLarge   Kind = "bodyTooLarge"
+	KindStopping       Kind = "stopping"
 )
 
 // Error is the error type of this package.
@@ -95,6 +96,11 @@
 	stopping atomic.Bool
 	stop     chan struct{}
 	stopOnce sync.Once
+	// answerBy is when the searches in progress end because the daemon stops; nil until
+	// the load balancer has removed the daemon.
+	answerBy atomic.Pointer[time.Time]
+	// expired is closed at answerBy.
+	expired chan struct{}
 	// foreignOnce limits logging of packets from other tiers to the first one.
 	foreignOnce sync.Once
 	// leaving is closed to notify peers that they must send no further requests
@@ -150,6 +156,7 @@
 		takenOver:   map[string]*ticketer.Table{},
 		leaving:     make(chan struct{}),
 		handedOver:  make(chan struct{}),
+		expired:     make(chan struct{}),
 		stop:        make(chan struct{}),
 		listeners:   l,
 	}
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -75,13 +75,16 @@
 	if d.settings.Policy.AdmissionGate && !d.gate.Admit(started, class.Priority) {
 		return caller.Answer{}, failer.New("admit", KindOverloaded, "requests of class %q are rejected while backend servers are overloaded", class.Name)
 	}
-	r := d.newRunner(request, id, class, plan, started)
+	timeout := requestTimeout(class, time.Duration(request.DeadlineMillis)*time.Millisecond)
+	if err := d.checkStop(started, timeout); err != nil {
+		return caller.Answer{}, err
+	}
+	r := d.newRunner(request, id, class, plan, started.Add(timeout-mergeReserve))
 	r.run(ctx)
 	return r.mergedAnswer(started), nil
 }
 
-func (d *Daemon) newRunner(request caller.Request, id string, class declarer.Class, plan planner.Plan, now time.Time) *queryRunner {
-	requested := time.Duration(request.DeadlineMillis) * time.Millisecond
+func (d *Daemon) newRunner(request caller.Request, id string, class declarer.Class, plan planner.Plan, deadline time.Time) *queryRunner {
 	r := &queryRunner{
 		daemon:      d,
 		hedger:      d.hedgerFor(class, plan),
@@ -89,7 +92,7 @@
 		service:     request.Service,
 		class:       class,
 		body:        request.Body,
-		deadline:    now.Add(requestTimeout(class, requested) - mergeReserve),
+		deadline:    deadline,
 		gatewayHash: xxhash.Sum64String(id),
 		inFlight:    make(map[uint64]sentAttempt, len(plan.Shards)),
 		results:     make(chan *messenger.ShardResult, len(plan.Shards)+8),
@@ -161,6 +164,7 @@
 		Scheduler: r.daemon.scheduler,
 		Results:   r.results,
 		Perform:   r.perform,
+		Expired:   r.daemon.expired,
 		Deliver:   r.deliver,
 		CancelAll: r.cancelAll,
 	}.Run(ctx)
--- a/internal/daemon/once.go
+++ b/internal/daemon/once.go
@@ -105,14 +105,17 @@
 	if err != nil {
 		return nil, class, err
 	}
-	requested := time.Duration(request.DeadlineMillis) * time.Millisecond
+	timeout := requestTimeout(class, time.Duration(request.DeadlineMillis)*time.Millisecond)
+	if err := d.checkStop(time.Now(), timeout); err != nil {
+		return nil, class, err
+	}
 	onceRequest := &messenger.OnceRequest{
 		Ticket:          request.Ticket,
 		RequestId:       id,
 		Service:         request.Service,
 		Class:           request.Class,
 		Key:             request.Key,
-		RemainingMicros: requestTimeout(class, requested).Microseconds(),
+		RemainingMicros: timeout.Microseconds(),
 		Body:            request.Body,
 	}
 	reply, err := d.forwardToOwner(ctx, ticket, onceRequest)
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -8,6 +8,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/fuchsiastile/fuchsiastile/internal/assigner"
+	"github.com/fuchsiastile/fuchsiastile/internal/failer"
 	"github.com/fuchsiastile/fuchsiastile/internal/messenger"
 	"github.com/fuchsiastile/fuchsiastile/internal/scheduler"
 	"github.com/fuchsiastile/fuchsiastile/internal/ticketer"
@@ -18,6 +19,9 @@
 	handOverTimeout = 2 * time.Second
 	// idlePollInterval is the interval between checks whether a stopping daemon is idle.
 	idlePollInterval = 20 * time.Millisecond
+	// answerTime is the time before the end of a shutdown in which responses are sent to
+	// the searches that it has ended.
+	answerTime = 200 * time.Millisecond
 	// leaveGracePeriod is how long peers have to switch their requests to other gateways.
 	leaveGracePeriod = 500 * time.Millisecond
 )
@@ -51,6 +55,9 @@
 	scheduler.Sleep(ctx, time.Duration(d.settings.Shutdown.ReadinessDelay))
 	finish, cancel := context.WithTimeout(ctx, time.Duration(d.settings.Shutdown.DrainTimeout))
 	defer cancel()
+	answerBy := time.Now().Add(time.Duration(d.settings.Shutdown.DrainTimeout) - answerTime)
+	d.answerBy.Store(&answerBy)
+	d.scheduler.At(answerBy, func(time.Time) { close(d.expired) })
 	successor := d.handOver(finish)
 	d.announceLeave(successor)
 	// Shutdown refuses new connections and waits for callers' requests in progress.
@@ -73,6 +80,15 @@
 	return nil
 }
 
+// checkStop returns an error of KindStopping if this daemon stops before a request could
+// use the whole of its timeout. Another daemon serves its retry.
+func (d *Daemon) checkStop(now time.Time, timeout time.Duration) error {
+	if answerBy := d.answerBy.Load(); answerBy != nil && now.Add(timeout).After(*answerBy) {
+		return failer.New("check shutdown", KindStopping, "the daemon stops before the deadline of the request")
+	}
+	return nil
+}
+
 // awaitIdle waits until active returns 0 or ctx is done.
 func awaitIdle(ctx context.Context, active func() int64) {
 	for active() > 0 && ctx.Err() == nil {
--- a/internal/stager/tier_stop_test.go
+++ b/internal/stager/tier_stop_test.go
@@ -1,12 +1,8 @@
 package stager_test
 
 import (
-	"bufio"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -18,49 +14,6 @@
 	"github.com/fuchsiastile/fuchsiastile/platform"
 )
 
-// slowUpload is a request whose body arrives slowly, and its response.
-type slowUpload struct {
-	id string
-	// wholeAt is when the last byte was sent.
-	wholeAt time.Time
-	status  int
-	err     error
-}
-
-// uploadSlowly sends a request in pieces, so that it is whole at a point in time, and reads
-// the whole response.
-func uploadSlowly(d *stager.TierDaemon, path string, wholeAt time.Time) slowUpload {
-	const pieces = 20
-	out := slowUpload{id: nextID(), wholeAt: wholeAt}
-	conn, err := net.Dial("tcp", d.Settings.CallerAddress)
-	if err != nil {
-		out.err = err
-		return out
-	}
-	defer func() { _ = conn.Close() }()
-	h := http.Header{}
-	platform.WriteCallerHeaders(h, out.id, 10*time.Second)
-	var head strings.Builder
-	_ = h.Write(&head)
-	piece := strings.Repeat("x", 1000)
-	_, out.err = fmt.Fprintf(conn, "POST %sx HTTP/1.1\r\nHost: %s\r\n%sContent-Length: %d\r\n\r\n", path, stager.TierHost, head.String(), pieces*len(piece))
-	for rest := time.Duration(pieces - 1); rest >= 0 && out.err == nil; rest-- {
-		time.Sleep(time.Until(wholeAt) / (rest + 1))
-		_, out.err = io.WriteString(conn, piece)
-	}
-	if out.err != nil {
-		return out
-	}
-	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
-	if err != nil {
-		out.err = err
-		return out
-	}
-	out.status = response.StatusCode
-	_, out.err = io.Copy(io.Discard, response.Body)
-	return out
-}
-
 // withLongTimeouts applies a configuration whose routes to single searchers time out after
 // the grace period of a stop.
 func withLongTimeouts(t *testing.T, tier *stager.Tier) {
@@ -85,13 +38,16 @@
 	const callers = 40
 	stopped := tier.Daemons[0]
 	stopAt := time.Now().Add(500 * time.Millisecond)
-	first, last := stopAt.Add(-100*time.Millisecond), stopAt.Add(5300*time.Millisecond)
-	uploads := make([]slowUpload, callers)
+	first, last := stopAt.Add(-100*time.Millisecond), stopAt.Add(5200*time.Millisecond)
+	uploads, ids := make([]slowUpload, callers), make([]string, callers)
 	var wait sync.WaitGroup
 	for n := range uploads {
 		wait.Go(func() {
 			path := []string{stager.AtMostOncePath, stager.SinglePath}[n%2]
-			uploads[n] = uploadSlowly(stopped, path, first.Add(last.Sub(first)*time.Duration(n)/(callers-1)))
+			h := http.Header{}
+			ids[n] = nextID()
+			platform.WriteCallerHeaders(h, ids[n], 10*time.Second)
+			uploads[n] = uploadSlowly(stopped.Settings.CallerAddress, path+"x", h, first.Add(last.Sub(first)*time.Duration(n)/(callers-1)))
 		})
 	}
 	time.Sleep(time.Until(stopAt))
@@ -100,8 +56,8 @@
 	is.NoErr(<-stopped.RunErr)
 	is.True(time.Since(stopAt) < 6*time.Second)
 	answered := 0
-	for _, u := range uploads {
-		ran := runCount(tier, u.id)
+	for n, u := range uploads {
+		ran := runCount(tier, ids[n])
 		t.Logf("whole %v after the stop: status %d, runs %d, %v", u.wholeAt.Sub(stopAt).Round(time.Millisecond), u.status, ran, u.err)
 		is.NoErr(u.err)
 		switch u.status {
