An entry without the software's version is no registration

Report: another writer left one odd entry among those of the searchers.

Cause: the decoder reads the version of the software but did not require it, so that an entry of another writer, in which it is missing, passed for a registration.

--- a/internal/stager/tier_entries_test.go
+++ b/internal/stager/tier_entries_test.go
@@ -20,6 +20,7 @@
 // foreignEntries are specifications that another writer left among the registrations. In
 // those that look like a registration ADDRESS stands for the address of a searcher.
 var foreignEntries = map[string]string{
+	"no version":            `{"service":"singles","addr":"ADDRESS","zone":"a","maxConcurrency":5,"state":"ready","warmupLeftMs":0,"seq":1}`,
 	"nested array":          nested(12_000),
 	"nested objects":        strings.Repeat(`{"a":`, 12_000) + "1" + strings.Repeat("}", 12_000),
 	"nested as far as fits": nested(500_000),
