A registration with a number out of range names no searcher

Report: another writer left one odd entry among those of the searchers: very deeply nested, with a number too large, or with a port out of range.

Cause: maxConcurrency was accepted up to 9.2e18, which makes a searcher that isn't one look idle whatever is sent to it, and warmupLeftMs without a limit, where the conversion to a duration overflows and depends on the processor. Requests went to such an entry. Numbers that no float64 holds, and ports out of range, were rejected already; no process ended.

--- a/internal/stager/tier_entries_test.go
+++ b/internal/stager/tier_entries_test.go
@@ -20,12 +20,24 @@
 // foreignEntries are specifications that another writer left among the registrations. In
 // those that look like a registration ADDRESS stands for the address of a searcher.
 var foreignEntries = map[string]string{
-	"no version":            `{"service":"singles","addr":"ADDRESS","zone":"a","maxConcurrency":5,"state":"ready","warmupLeftMs":0,"seq":1}`,
-	"nested array":          nested(12_000),
-	"nested objects":        strings.Repeat(`{"a":`, 12_000) + "1" + strings.Repeat("}", 12_000),
-	"nested as far as fits": nested(500_000),
-	"nested unknown field":  `{"service":"singles","addr":"ADDRESS","zone":"a","version":"v1","maxConcurrency":5,"state":"ready","warmupLeftMs":0,"seq":1,"x":` + nested(12_000) + `}`,
-	"nested field":          `{"service":` + nested(12_000) + `,"addr":"ADDRESS","zone":"a","version":"v1","maxConcurrency":5,"state":"ready","warmupLeftMs":0,"seq":1}`,
+	"slots too many":         `{"service":"singles","addr":"ADDRESS","zone":"a","version":"v1","maxConcurrency":9e18,"state":"ready","warmupLeftMs":0,"seq":1,"born":5}`,
+	"slots beyond range":     `{"service":"singles","addr":"ADDRESS","zone":"a","version":"v1","maxConcurrency":1e400,"state":"ready","warmupLeftMs":0,"seq":1,"born":5}`,
+	"slots of a long number": `{"service":"singles","addr":"ADDRESS","zone":"a","version":"v1","maxConcurrency":1000000000000000000,"state":"ready","warmupLeftMs":0,"seq":1,"born":5}`,
+	"warm-up too long":       `{"service":"singles","addr":"ADDRESS","zone":"a","version":"v1","maxConcurrency":5,"state":"ready","warmupLeftMs":1e300,"seq":1,"born":5}`,
+	"warm-up beyond range":   `{"service":"singles","addr":"ADDRESS","zone":"a","version":"v1","maxConcurrency":5,"state":"ready","warmupLeftMs":1e400,"seq":1,"born":5}`,
+	"sequence beyond range":  `{"service":"singles","addr":"ADDRESS","zone":"a","version":"v1","maxConcurrency":5,"state":"ready","warmupLeftMs":0,"seq":1e400,"born":5}`,
+	"born beyond range":      `{"service":"singles","addr":"ADDRESS","zone":"a","version":"v1","maxConcurrency":5,"state":"ready","warmupLeftMs":0,"seq":1,"born":1e30}`,
+	"port too high":          `{"service":"singles","addr":"127.0.0.1:65536","zone":"a","version":"v1","maxConcurrency":5,"state":"ready","warmupLeftMs":0,"seq":1}`,
+	"port too long":          `{"service":"singles","addr":"127.0.0.1:99999999999999999999","zone":"a","version":"v1","maxConcurrency":5,"state":"ready","warmupLeftMs":0,"seq":1}`,
+	"port negative":          `{"service":"singles","addr":"127.0.0.1:-1","zone":"a","version":"v1","maxConcurrency":5,"state":"ready","warmupLeftMs":0,"seq":1}`,
+	"port 0":                 `{"service":"singles","addr":"127.0.0.1:0","zone":"a","version":"v1","maxConcurrency":5,"state":"ready","warmupLeftMs":0,"seq":1}`,
+	"port of a name":         `{"service":"singles","addr":"127.0.0.1:http","zone":"a","version":"v1","maxConcurrency":5,"state":"ready","warmupLeftMs":0,"seq":1}`,
+	"no version":             `{"service":"singles","addr":"ADDRESS","zone":"a","maxConcurrency":5,"state":"ready","warmupLeftMs":0,"seq":1}`,
+	"nested array":           nested(12_000),
+	"nested objects":         strings.Repeat(`{"a":`, 12_000) + "1" + strings.Repeat("}", 12_000),
+	"nested as far as fits":  nested(500_000),
+	"nested unknown field":   `{"service":"singles","addr":"ADDRESS","zone":"a","version":"v1","maxConcurrency":5,"state":"ready","warmupLeftMs":0,"seq":1,"x":` + nested(12_000) + `}`,
+	"nested field":           `{"service":` + nested(12_000) + `,"addr":"ADDRESS","zone":"a","version":"v1","maxConcurrency":5,"state":"ready","warmupLeftMs":0,"seq":1}`,
 }
 
 // TestTierFollowsRegistrationsBesideForeignEntries checks that an entry of another writer
