--- a/review/harness-3/cases.go
+++ b/review/harness-3/cases.go
@@ -7,6 +7,7 @@
 	"os"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 )
 
@@ -325,3 +326,106 @@
 	}
 	return worst
 }
+
+const (
+	// inventoryEntries is the number of entries of the other writer. Each has about 1,100
+	// bytes, of which inventoryText in each of four texts are XML.
+	inventoryEntries = 18_000
+	inventoryText    = 240
+	// memoryLimit is memoryMb of the settings. A process that exceeds it is killed and
+	// started again after restartDelay.
+	memoryLimit   = 206 << 20
+	restartDelay  = 300 * time.Millisecond
+	memorySamples = 10 * time.Millisecond
+	// A fault are ends of processes, three times on a tenth of the machines, two at least.
+	faultEnds, faultMachines = 3, 2
+)
+
+// runInventory checks Fault while another writer registers many servers of services that no
+// configuration names.
+func runInventory(h *harness) (bool, error) {
+	searchers, err := h.addSearchers(serviceOrders, 6, 220*time.Millisecond)
+	if err != nil {
+		return false, err
+	}
+	if err := h.awaitReady(); err != nil {
+		return false, err
+	}
+	if h.trouble {
+		go h.writeInventory()
+	}
+	stop := make(chan struct{})
+	var wait sync.WaitGroup
+	peaks, ends := make([]int64, len(h.daemons)), make([]int, len(h.daemons))
+	for n, d := range h.daemons {
+		wait.Go(func() { peaks[n], ends[n] = h.limitMemory(d, stop) })
+	}
+	replies := h.traffic(http.MethodPost, "orders", 40, 40*time.Second, 4*time.Second)
+	close(stop)
+	wait.Wait()
+	h.recordTraffic(replies)
+	h.recordArrivals(searchers)
+	machines := 0
+	for n, d := range h.daemons {
+		h.record.log(time.Now(), "%s was killed %d times for its memory; it took at most %d MB, allowed 206", d.name, ends[n], peaks[n]>>20)
+		if ends[n] >= faultEnds {
+			machines++
+		}
+	}
+	lost := 0
+	for _, r := range replies {
+		if r.err != nil || r.status == http.StatusBadGateway {
+			lost++
+		}
+	}
+	h.record.log(time.Now(), "%d of %d processes ended three times or more, allowed 1; %d of %d requests got no answer or 502", machines, len(h.daemons), lost, len(replies))
+	return machines >= faultMachines, nil
+}
+
+// writeInventory writes the entries of the other writer, about 2,000 a second.
+func (h *harness) writeInventory() {
+	pad := strings.Repeat("<a/>", inventoryText/4)
+	for n := range inventoryEntries {
+		spec, err := encode(map[string]any{
+			"service": fmt.Sprintf("stock-%d-%s", n, pad), "addr": fmt.Sprintf("127.250.%d.%d:80", n/250, 1+n%250), "zone": "zone-" + pad, "version": "v-" + pad,
+			"maxConcurrency": 5, "state": "ready", "warmupLeftMs": 0, "seq": 1, "born": 1_796_665_000_000,
+		})
+		if err == nil {
+			h.store.put("servers", fmt.Sprintf("stock-%05d-%s", n, pad), spec)
+		}
+		if n%20 == 0 {
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	h.record.log(time.Now(), "another writer wrote %d entries of services that no configuration names", inventoryEntries)
+}
+
+// limitMemory kills a daemon that exceeds its memory and starts it again, as the platform
+// does, until stop is closed. It returns the most memory that it saw and how often it killed
+// the daemon.
+func (h *harness) limitMemory(d *daemon, stop <-chan struct{}) (peak int64, ends int) {
+	ticker := time.NewTicker(memorySamples)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-stop:
+			return peak, ends
+		case <-ticker.C:
+		}
+		memory := d.memory()
+		peak = max(peak, memory)
+		if memory <= memoryLimit {
+			continue
+		}
+		ends++
+		h.record.log(time.Now(), "%s takes %d MB and is killed", d.name, memory>>20)
+		_ = d.command.Process.Kill()
+		<-d.exited
+		time.Sleep(restartDelay)
+		d.restarted = true
+		if err := d.start(h.root, h.folder, h.ips[:3], h.store.address); err != nil {
+			h.record.log(time.Now(), "%s: %v", d.name, err)
+			return peak, ends
+		}
+	}
+}
--- a/review/harness-3/daemon.go
+++ b/review/harness-3/daemon.go
@@ -28,8 +28,11 @@
 // daemon is a process of the project, started with the command of the deploy file.
 type daemon struct {
 	name, ip, zone string
-	command        *exec.Cmd
-	exited         chan struct{}
+	// restarted is set once the process has been started again: the tier does not start for
+	// the first time then.
+	restarted bool
+	command   *exec.Cmd
+	exited    chan struct{}
 }
 
 // settingsTemplate is a settings file like that of a small deployment; the bounds are those
@@ -43,7 +46,7 @@
 region = "r"
 peerPortRange = [%d,%d]
 seeds = [%s]
-bootstrap = true
+bootstrap = %t
 inTolerance = false
 discovery = "platform"
 entry = "vip"
@@ -99,7 +102,7 @@
 	for i, seed := range seeds {
 		quoted[i] = fmt.Sprintf("%q", net.JoinHostPort(seed, portControl))
 	}
-	return fmt.Sprintf(settingsTemplate, d.name, d.ip, d.zone, firstPeer, lastPeer, strings.Join(quoted, ","), d.ip, portFront, d.ip, portReady, d.ip, portControl, storeAddress)
+	return fmt.Sprintf(settingsTemplate, d.name, d.ip, d.zone, firstPeer, lastPeer, strings.Join(quoted, ","), !d.restarted, d.ip, portFront, d.ip, portReady, d.ip, portControl, storeAddress)
 }
 
 // start starts the process; its output goes to a file in the folder.
@@ -108,7 +111,7 @@
 	if err := os.WriteFile(file, []byte(d.settings(seeds, storeAddress)), 0o600); err != nil {
 		return err
 	}
-	output, err := os.Create(filepath.Join(folder, d.name+".log"))
+	output, err := os.OpenFile(filepath.Join(folder, d.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
@@ -128,6 +131,19 @@
 	return nil
 }
 
+// memory returns the resident memory of the process in bytes, zero if it has ended.
+func (d *daemon) memory() int64 {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", d.command.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	var size, resident int64
+	if _, err := fmt.Sscan(string(data), &size, &resident); err != nil {
+		return 0
+	}
+	return resident * int64(os.Getpagesize())
+}
+
 // stop ends the process as the platform does.
 func (d *daemon) stop() {
 	if d.exited == nil {
--- a/review/harness-3/store.go
+++ b/review/harness-3/store.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"encoding/json"
 	"maps"
 	"net"
@@ -145,7 +146,7 @@
 	} else {
 		reply = s.list(kind, query.Get("after"))
 	}
-	body, err := json.Marshal(reply)
+	body, err := encode(reply)
 	if err != nil {
 		w.WriteHeader(http.StatusInternalServerError)
 		return
@@ -155,6 +156,15 @@
 	_, _ = w.Write(body)
 }
 
+// encode returns JSON in which texts stand as they are.
+func encode(value any) (json.RawMessage, error) {
+	var out bytes.Buffer
+	encoder := json.NewEncoder(&out)
+	encoder.SetEscapeHTML(false)
+	err := encoder.Encode(value)
+	return bytes.TrimSpace(out.Bytes()), err
+}
+
 func (o object) encode() map[string]any {
 	return map[string]any{
 		"meta":   map[string]any{"name": o.name, "revision": o.revision, "createRevision": o.created, "finalizers": []string{}, "deleting": false},
