--- a/internal/stager/tier_entries_test.go
+++ b/internal/stager/tier_entries_test.go
@@ -34,6 +34,7 @@
 	"port of a name":         `{"service":"singles","addr":"127.0.0.1:http","zone":"a","version":"v1","maxConcurrency":5,"state":"ready","warmupLeftMs":0,"seq":1}`,
 	"no version":             `{"service":"singles","addr":"ADDRESS","zone":"a","maxConcurrency":5,"state":"ready","warmupLeftMs":0,"seq":1}`,
 	"other spelling":         `{"Service":"singles","Addr":"ADDRESS","Zone":"a","Version":"v1","MaxConcurrency":5,"State":"ready","WarmupLeftMs":0,"Seq":1}`,
+	"born as a text":         `{"service":"singles","addr":"ADDRESS","zone":"a","version":"v1","maxConcurrency":5,"state":"ready","warmupLeftMs":0,"seq":1,"born":"5"}`,
 	"nested array":           nested(12_000),
 	"nested objects":         strings.Repeat(`{"a":`, 12_000) + "1" + strings.Repeat("}", 12_000),
 	"nested as far as fits":  nested(500_000),
