A searcher whose replies say that it leaves is not used any more

While the store was down, a searcher that said Server-Leaving: 1 got 9 requests that were sent later than drainMs after its daemon had passed that on.

Cause: nothing read the header. A searcher left use by its registration or by a 421 only.

Change: any reply of the searcher itself that says so marks it as draining and closes its idle connections. The mark holds while the searcher is listed as ready, since the store may be down for any time, and ten minutes longer.

--- a/internal/emulator/backend.go
+++ b/internal/emulator/backend.go
@@ -76,6 +76,8 @@
 	faults BackendFaults
 	stats  BackendStats
 	limit  rateLimit
+	// isLeaving means that replies say that the server is about to exit.
+	isLeaving bool
 }
 
 // StartBackend starts a backend server that listens on address. The Address of its
@@ -112,6 +114,19 @@
 	b.faults = f
 }
 
+// Leave makes all further replies say that the server is about to exit.
+func (b *Backend) Leave() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.isLeaving = true
+}
+
+func (b *Backend) leaves() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.isLeaving
+}
+
 // Stats returns a copy of the counters.
 func (b *Backend) Stats() BackendStats {
 	b.mu.Lock()
@@ -135,6 +150,9 @@
 	if perSecond, limited := b.recordLimited(r); limited {
 		platform.WriteRateLimit(w.Header(), perSecond)
 	}
+	if b.leaves() {
+		platform.WriteLeaving(w.Header())
+	}
 	switch {
 	case request.ID == "":
 		platform.WriteNotRun(w.Header(), "")
--- a/internal/picker/draining.go
+++ b/internal/picker/draining.go
@@ -20,6 +20,20 @@
 	return true
 }
 
+// MarkLeaving marks a server as draining because it announced that it is about to exit. The
+// mark holds for as long as Forget keeps the server, and drainingTTL longer. It reports
+// whether the server was not marked as leaving before.
+func (p *Picker) MarkLeaving(now time.Time, address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.state(address)
+	if s.isLeaving {
+		return false
+	}
+	s.drainingAt, s.isLeaving = now, true
+	return true
+}
+
 // DrainingServers returns the servers that are draining, each with the time since
 // which it has been draining.
 func (p *Picker) DrainingServers(now time.Time) map[string]time.Time {
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -114,6 +114,9 @@
 	// drainingAt is the time as of which the server is draining, or zero if it has
 	// not announced that.
 	drainingAt time.Time
+	// isLeaving means that the server is about to exit: drainingAt is then not older than
+	// the last Forget that kept the server.
+	isLeaving bool
 }
 
 // Picker selects replicas. It is safe for concurrent use.
@@ -343,11 +346,15 @@
 
 // Forget drops the state of servers that are not in keep. Draining servers are
 // kept because an outdated server list may still contain them, and so are servers
-// with outstanding requests.
+// with outstanding requests. The mark of a leaving server that is in keep is renewed.
 func (p *Picker) Forget(now time.Time, keep map[string]bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for address, s := range p.servers {
+		s.isLeaving = s.isLeaving && keep[address]
+		if s.isLeaving {
+			s.drainingAt = now
+		}
 		if !keep[address] && s.outstanding == 0 && !s.isDraining(now) {
 			delete(p.servers, address)
 		}
--- a/internal/picker/picker_test.go
+++ b/internal/picker/picker_test.go
@@ -116,3 +116,25 @@
 	}
 	is.True(spent < 300) // a tenth of the refill if every reply reports a queue
 }
+
+// TestLeavingServerIsNotUsedWhileItIsListed guards against a leaving server that is used
+// again because the mark of its announcement ran out before its registration did.
+func TestLeavingServerIsNotUsedWhileItIsListed(t *testing.T) {
+	is := is.New(t)
+	const address, listedFor, ttl = "1", time.Hour, 10 * time.Minute
+	p := newPicker()
+	is.True(p.MarkLeaving(start, address))
+	is.True(!p.MarkLeaving(start.Add(time.Second), address))
+	now := start
+	for ; now.Before(start.Add(listedFor)); now = now.Add(time.Minute) {
+		p.Forget(now, map[string]bool{address: true})
+		is.True(p.IsDraining(now, address))
+	}
+	unlisted := now
+	for ; now.Before(unlisted.Add(ttl - time.Minute)); now = now.Add(time.Minute) {
+		p.Forget(now, nil)
+		is.True(p.IsDraining(now, address))
+	}
+	p.Forget(unlisted.Add(2*ttl), nil)
+	is.True(!p.IsDraining(unlisted.Add(2*ttl), address))
+}
--- a/internal/responder/responder.go
+++ b/internal/responder/responder.go
@@ -196,6 +196,16 @@
 	}
 }
 
+// markLeaving stops requests to a searcher whose reply says that it is about to exit, also
+// while its registration does not, or cannot be read.
+func (r *Responder) markLeaving(now time.Time, key string) {
+	if !r.picker.MarkLeaving(now, key) {
+		return
+	}
+	r.exchanger.CloseIdle(key)
+	klog.InfoS("searcher leaves", "searcher", key)
+}
+
 // Close closes the idle connections to searchers.
 func (r *Responder) Close() { r.exchanger.Sweep(time.Now(), nil) }
 
--- a/internal/responder/results.go
+++ b/internal/responder/results.go
@@ -68,6 +68,9 @@
 	outcome := platform.ClassifyReply(res.reply.Status, res.reply.Header)
 	if outcome != platform.Displaced {
 		run.responder.recordRateLimit(now, attempt.sentAt, key, res.reply.Header)
+		if platform.IsLeaving(res.reply.Header) {
+			run.responder.markLeaving(now, key)
+		}
 	}
 	switch outcome {
 	case platform.Success:
