No connections are opened ahead of use to searchers that are marked

Callers saw nothing; a searcher's connections are limited and each new one is priced.

Evidence: TestNoConnectionsAheadOfUseToLeavingSearchers failed in 6 of 6 runs without the change (2 connections, 1 before) and passes in 3 of 3 with it.

--- a/internal/responder/connections.go
+++ b/internal/responder/connections.go
@@ -119,10 +119,10 @@
 	return assigner.ConnectionShare(connectionLimit(state, service), state.Daemons) >= preconnectMinShare
 }
 
-// preconnect opens connections to the shards' searchers that have none, at most
-// preconnectsPerSweep, so that a hedge to another region does not wait for
+// preconnect opens connections to the shards' searchers that have none and do not drain, at
+// most preconnectsPerSweep, so that a hedge to another region does not wait for
 // connection setup.
-func (r *Responder) preconnect(state *follower.State) {
+func (r *Responder) preconnect(now time.Time, state *follower.State) {
 	if !r.isEnabled(PolicyPreconnect) {
 		return
 	}
@@ -136,7 +136,7 @@
 			seen[service] = true
 			for _, searcher := range state.Fleet.Searchers(service) {
 				target := newTarget(state, service, searcher)
-				if remaining == 0 || r.exchanger.HasConnection(target.Key) {
+				if remaining == 0 || r.exchanger.HasConnection(target.Key) || r.picker.IsDraining(now, target.Key) {
 					continue
 				}
 				remaining--
--- a/internal/responder/responder.go
+++ b/internal/responder/responder.go
@@ -177,7 +177,7 @@
 	r.picker.Forget(now, keep)
 	r.reportRateLimits(now)
 	r.budget.Forget(func(service string) bool { return len(state.Fleet.Searchers(service)) > 0 })
-	r.preconnect(state)
+	r.preconnect(now, state)
 	r.config.Metrics.connections.Set(float64(r.exchanger.ConnectionCount()))
 }
 
--- a/internal/stager/tier_leaving_test.go
+++ b/internal/stager/tier_leaving_test.go
@@ -99,3 +99,18 @@
 		})
 	}
 }
+
+// TestNoConnectionsAheadOfUseToLeavingSearchers guards against connections that are opened
+// ahead of use to a searcher that gets no requests.
+func TestNoConnectionsAheadOfUseToLeavingSearchers(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	tier := newTier(t, func(c *stager.TierConfig) { c.Domains = c.Domains[:1] })
+	leaving := backendsOf(tier, stager.ShardServiceName(0))[0]
+	leaving.Leave()
+	sendRequest(t, tier, 0, stager.ScatterGatherPath+"x")
+	before := leaving.Stats().Connections
+	// Connections are opened every second.
+	time.Sleep(3 * time.Second)
+	is.Equal(leaving.Stats().Connections, before)
+}
