Daemons that are restarted in turn while the seeds are gone are found

Callers saw: far more load on searchers in trouble than the shared retry budget allows.

Cause: a daemon that has just started knows the seeds of its settings only. The daemons that remain probe members that died, but not those that left, so that one that returns from a planned restart is never asked.

Change: members that left are probed: one in every period for 30 s, by a daemon that is stopping, too, and among the dead ones afterwards. A daemon keeps the record of a member that left before it knew it. A stopping daemon repeats its announcement.

TestTierFindsRestartedDaemonsWithoutSeeds timed out before and passes.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -283,6 +283,10 @@
 	return net.JoinHostPort(ip, strconv.Itoa(f.config.Settings.PeerPorts[0]))
 }
 
+// LiveDaemons returns the peer addresses of the daemons that this one knows to be alive,
+// itself included, sorted.
+func (f *Follower) LiveDaemons() []string { return addresses(f.gossip.Live(), nil) }
+
 func (f *Follower) seedMembership() {
 	var seeds []*messenger.Member
 	for _, ip := range f.config.Settings.Seeds {
--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -48,9 +48,14 @@
 	// retransmitFactor times the number of decimal digits of the member count is the
 	// number of packets that carry an update.
 	retransmitFactor = 4
-	// deadProbePeriods is the number of periods between probes of a random dead
-	// member, so that the membership recovers after a partition.
+	// deadProbePeriods is the number of periods between probes of a random dead or
+	// departed member, so that the membership recovers after a partition, and whatever
+	// the seeds of a member that returns are.
 	deadProbePeriods = 5
+	// returnTime is the time after its departure in which a member is probed more often,
+	// by departing members too: most departures are restarts, and a process that has just
+	// started may know no member that is alive.
+	returnTime = 30 * time.Second
 	// forgetTimeout is how long the record of a dead or departed member is kept.
 	forgetTimeout = 10 * time.Minute
 )
@@ -186,7 +191,8 @@
 	if m.left {
 		m.probeTarget = ""
 		m.nextPeriod = now.Add(m.config.Period)
-		return nil
+		// The announcement of the departure may have been lost.
+		return append(m.Push(), m.pingReturning(now)...)
 	}
 	var out []Outgoing
 	if m.probeTarget != "" && !m.indirectSent && !now.Before(m.probeStartedAt.Add(m.config.ProbeTimeout)) {
@@ -247,16 +253,33 @@
 		m.probeTarget, m.probeSequence, m.probeStartedAt, m.indirectSent = probeTarget, m.sequence, now, false
 		out = append(out, m.newPacket(probeTarget, kindPing, m.sequence, ""))
 	}
+	out = append(out, m.pingReturning(now)...)
 	if m.periodCount%deadProbePeriods != 0 {
 		return out
 	}
-	if dead := m.addressesWhere(func(s State) bool { return s == Dead }); len(dead) > 0 {
-		m.sequence++
-		out = append(out, m.newPacket(dead[m.config.Rand.IntN(len(dead))], kindPing, m.sequence, ""))
+	if gone := m.addressesWhere(func(other *member) bool { return state(other.record) >= Dead }); len(gone) > 0 {
+		out = append(out, m.pingRandom(gone))
 	}
 	return out
 }
 
+// pingReturning returns a ping to a member that left within returnTime, if there is one.
+func (m *Machine) pingReturning(now time.Time) []Outgoing {
+	returning := m.addressesWhere(func(other *member) bool {
+		return state(other.record) == Left && now.Sub(other.stateSince) < returnTime
+	})
+	if len(returning) == 0 {
+		return nil
+	}
+	return []Outgoing{m.pingRandom(returning)}
+}
+
+// pingRandom returns a ping to one of the addresses, whose loss has no consequence.
+func (m *Machine) pingRandom(addresses []string) Outgoing {
+	m.sequence++
+	return m.newPacket(addresses[m.config.Rand.IntN(len(addresses))], kindPing, m.sequence, "")
+}
+
 // nextTarget returns the next alive or suspect member of the current round; a new
 // shuffled round begins when it is used up.
 func (m *Machine) nextTarget() (string, bool) {
@@ -277,7 +300,7 @@
 // nextRound returns the members of the next probe round, which is limited to this
 // daemon's region except for every CrossRegionEvery-th.
 func (m *Machine) nextRound() []string {
-	round := m.addressesWhere(func(s State) bool { return s <= Suspect })
+	round := m.addressesWhere(func(other *member) bool { return state(other.record) <= Suspect })
 	m.roundCount++
 	if m.config.CrossRegionEvery < 2 || m.roundCount%m.config.CrossRegionEvery == 0 {
 		return round
@@ -292,12 +315,12 @@
 	return sameRegion
 }
 
-// addressesWhere returns the addresses of the members whose state matches, sorted so
-// that runs with the same random seed are reproducible.
-func (m *Machine) addressesWhere(match func(State) bool) []string {
+// addressesWhere returns the addresses of the members that match, sorted so that runs
+// with the same random seed are reproducible.
+func (m *Machine) addressesWhere(match func(*member) bool) []string {
 	var out []string
 	for address, other := range m.members {
-		if match(state(other.record)) {
+		if match(other) {
 			out = append(out, address)
 		}
 	}
@@ -315,7 +338,7 @@
 
 // randomAlive returns up to n random members in state Alive other than exclude.
 func (m *Machine) randomAlive(n int, exclude string) []string {
-	alive := m.addressesWhere(func(s State) bool { return s == Alive })
+	alive := m.addressesWhere(func(other *member) bool { return state(other.record) == Alive })
 	alive = slices.DeleteFunc(alive, func(a string) bool { return a == exclude })
 	m.config.Rand.Shuffle(len(alive), func(i, j int) { alive[i], alive[j] = alive[j], alive[i] })
 	return alive[:min(n, len(alive))]
--- a/internal/prober/prober_test.go
+++ b/internal/prober/prober_test.go
@@ -199,3 +199,78 @@
 		}
 	})
 }
+
+// loseFirst silences the first n members for good and returns their addresses, as seeds.
+func (c *cluster) loseFirst(n int) []*messenger.Member {
+	seeds := make([]*messenger.Member, n)
+	for address, index := range c.indexes {
+		if index < n {
+			seeds[index] = &messenger.Member{Address: address}
+			c.silent[index] = true
+		}
+	}
+	return seeds
+}
+
+// restart replaces a machine by one that knows nothing but the seeds.
+func (c *cluster) restart(target int, seeds []*messenger.Member) {
+	var self *messenger.Member
+	for _, record := range c.machines[target].Members() {
+		if c.indexes[record.GetAddress()] == target {
+			self = &messenger.Member{
+				Address: record.GetAddress(), Incarnation: record.GetIncarnation() + "+", Revision: uint64(c.now.UnixMilli()),
+				FailureDomain: record.GetFailureDomain(), Region: record.GetRegion(),
+			}
+		}
+	}
+	c.machines[target] = prober.New(prober.DefaultConfig(self, rand.New(rand.NewPCG(uint64(c.now.UnixMilli()), uint64(target)))))
+	c.machines[target].Seed(c.now, seeds)
+	c.silent[target] = false
+}
+
+// TestRestartedMembersAreFoundWithoutSeeds guards against members that are restarted in turn
+// while all seeds are gone, and stay alone: each knows only the seeds, and the members that
+// remained looked for dead members but not for those that had left.
+func TestRestartedMembersAreFoundWithoutSeeds(t *testing.T) {
+	const (
+		seedCount = 3
+		// A member that leaves still runs for leavingTime; then it is gone for downTime.
+		leavingTime = 2700 * time.Millisecond
+		downTime    = 300 * time.Millisecond
+		// found is the time after the last restart in which all must know each other: shared
+		// limits go by the greatest number of members of that time.
+		found = 45 * time.Second
+		runs  = 20
+	)
+	for _, size := range []int{5, 9, 18} {
+		for _, gap := range []time.Duration{time.Second, 5 * time.Second, 20 * time.Second} {
+			t.Run(fmt.Sprintf("%d members, gap of %s", size, gap), func(t *testing.T) {
+				for seed := range uint64(runs) {
+					c := newCluster(size, 0.02, seed)
+					c.run(5*time.Second, nil)
+					seeds := c.loseFirst(seedCount)
+					for n := seedCount; n < size; n++ {
+						c.deliver(c.machines[n].Leave(""))
+						c.run(leavingTime, nil)
+						c.silent[n] = true
+						c.run(downTime, nil)
+						c.restart(n, seeds)
+						c.run(gap, nil)
+					}
+					allKnown := func() bool {
+						for n := seedCount; n < size; n++ {
+							if c.countViews(n, prober.Alive) != size-seedCount-1 {
+								return false
+							}
+						}
+						return true
+					}
+					c.run(found, allKnown)
+					if !allKnown() {
+						t.Error("seed", seed)
+					}
+				}
+			})
+		}
+	}
+}
--- a/internal/prober/records.go
+++ b/internal/prober/records.go
@@ -16,7 +16,8 @@
 	}
 	known, ok := m.members[record.GetAddress()]
 	if !ok {
-		if state(record) >= Dead && record.GetSuccessor() == "" {
+		// One that left is known from here on, since it may return.
+		if state(record) == Dead && record.GetSuccessor() == "" {
 			return
 		}
 		known = &member{record: &messenger.Member{Address: record.GetAddress()}}
--- /dev/null
+++ b/internal/stager/tier_membership_test.go
@@ -0,0 +1,70 @@
+package stager_test
+
+import (
+	"net"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/fuchsiastile/fuchsiastile/internal/stager"
+)
+
+// seedCount is the number of seeds in the settings of a tier: its first daemons.
+const seedCount = 3
+
+// newTierWithoutSeeds starts a tier of six daemons and kills the seeds for good. It returns
+// the tier and the numbers of the daemons that remain.
+func newTierWithoutSeeds(t *testing.T) (tier *stager.Tier, remaining []int) {
+	t.Helper()
+	is := is.New(t)
+	tier = newTier(t, func(c *stager.TierConfig) { c.DaemonsPerDomain = 2 })
+	awaitMembership(t, tier, []int{0, 1, 2, 3, 4, 5})
+	for n := range tier.Daemons {
+		if n >= seedCount {
+			remaining = append(remaining, n)
+			continue
+		}
+		tier.Daemons[n].Kill()
+		is.NoErr(<-tier.Daemons[n].RunErr)
+	}
+	return tier, remaining
+}
+
+// awaitMembership waits until each of the daemons knows that exactly these are alive.
+func awaitMembership(t *testing.T, tier *stager.Tier, daemons []int) {
+	t.Helper()
+	var want []string
+	for _, n := range daemons {
+		s := tier.Daemons[n].Settings
+		want = append(want, net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPorts[0])))
+	}
+	slices.Sort(want)
+	eventually(t, "the daemons know each other", func() bool {
+		for _, n := range daemons {
+			if !slices.Equal(tier.Daemons[n].LiveDaemons(), want) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// TestTierFindsRestartedDaemonsWithoutSeeds guards against daemons that are restarted in
+// turn while the seeds are gone, and each stay alone and take the whole of what all share.
+func TestTierFindsRestartedDaemonsWithoutSeeds(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	tier, remaining := newTierWithoutSeeds(t)
+	for _, n := range remaining {
+		tier.Daemons[n].Stop()
+		is.NoErr(<-tier.Daemons[n].RunErr)
+		_, err := tier.StartDaemon(n, false)
+		is.NoErr(err)
+		eventually(t, "the daemon is ready", tier.Daemons[n].IsReady)
+		time.Sleep(time.Second)
+	}
+	awaitMembership(t, tier, remaining)
+}
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -365,5 +365,9 @@
 	klog.InfoS("settings reloaded", "seeds", len(next.Seeds), "store", next.StoreAddress)
 }
 
+// LiveDaemons returns the peer addresses of the daemons that this one knows to be alive,
+// itself included, sorted.
+func (s *Supervisor) LiveDaemons() []string { return s.follower.LiveDaemons() }
+
 // CurrentSettings returns the settings that were applied last.
 func (s *Supervisor) CurrentSettings() platform.Settings { return *s.settings.Load() }
