Renewed seeds of the settings are asked

Cause: the settings file was read again, and the membership kept the seeds of the start. The fetches of a daemon that has just started did, too.

Change: the seeds of the newest settings are added to the membership at once, and are those that a daemon without live peers asks.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -151,6 +151,8 @@
 	peakDaemons int
 	peakAt      time.Time
 	startedAt   time.Time
+	// seeds holds the IP addresses of the seeds in the newest settings; never nil.
+	seeds atomic.Pointer[[]string]
 	// leaving is set once the daemon has begun to stop.
 	leaving atomic.Bool
 }
@@ -165,6 +167,7 @@
 		peers:     linker.New(config.Network, nil),
 		ready:     make(chan struct{}),
 	}
+	f.seeds.Store(&s.Seeds)
 	f.address = f.peerAddress(s.IP)
 	f.state.Store(&State{Daemons: 1})
 	var err error
@@ -283,13 +286,19 @@
 	return net.JoinHostPort(ip, strconv.Itoa(f.config.Settings.PeerPorts[0]))
 }
 
+// SetSeeds replaces the IP addresses of the seeds, after the settings have changed.
+func (f *Follower) SetSeeds(ips []string) {
+	f.seeds.Store(&ips)
+	f.seedMembership()
+}
+
 // LiveDaemons returns the peer addresses of the daemons that this one knows to be alive,
 // itself included, sorted.
 func (f *Follower) LiveDaemons() []string { return addresses(f.gossip.Live(), nil) }
 
 func (f *Follower) seedMembership() {
 	var seeds []*messenger.Member
-	for _, ip := range f.config.Settings.Seeds {
+	for _, ip := range *f.seeds.Load() {
 		seeds = append(seeds, &messenger.Member{Address: f.peerAddress(ip)})
 	}
 	f.gossip.Seed(seeds)
--- a/internal/follower/gossip.go
+++ b/internal/follower/gossip.go
@@ -133,7 +133,7 @@
 // otherSeeds returns the addresses of the seeds without this daemon.
 func (f *Follower) otherSeeds() []string {
 	var out []string
-	for _, ip := range f.config.Settings.Seeds {
+	for _, ip := range *f.seeds.Load() {
 		if ip != f.config.Settings.IP {
 			out = append(out, f.peerAddress(ip))
 		}
--- a/internal/stager/tier_membership_test.go
+++ b/internal/stager/tier_membership_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"os"
 	"slices"
 	"strconv"
 	"testing"
@@ -10,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"github.com/fuchsiastile/fuchsiastile/internal/stager"
+	"github.com/fuchsiastile/fuchsiastile/platform"
 )
 
 // seedCount is the number of seeds in the settings of a tier: its first daemons.
@@ -68,3 +70,29 @@
 	}
 	awaitMembership(t, tier, remaining)
 }
+
+// TestTierFollowsChangedSeeds guards against daemons that go on asking the seeds of the
+// settings with which they started: killed at once, none knows another that is alive.
+func TestTierFollowsChangedSeeds(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	tier, remaining := newTierWithoutSeeds(t)
+	for _, n := range remaining {
+		tier.Daemons[n].Kill()
+		is.NoErr(<-tier.Daemons[n].RunErr)
+	}
+	for _, n := range remaining {
+		_, err := tier.StartDaemon(n, false)
+		is.NoErr(err)
+	}
+	for _, n := range remaining {
+		eventually(t, "the daemon is ready", tier.Daemons[n].IsReady)
+		next := tier.Daemons[n].Settings
+		next.Seeds = []string{tier.Daemons[remaining[0]].Settings.IP}
+		data, err := platform.EncodeSettings(next)
+		is.NoErr(err)
+		is.NoErr(os.WriteFile(tier.Daemons[n].SettingsFile, data, 0o600))
+		tier.Daemons[n].Reload()
+	}
+	awaitMembership(t, tier, remaining)
+}
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -361,6 +361,7 @@
 	}
 	debug.SetMemoryLimit(int64(softMemoryLimitRatio * float64(next.MemoryBytes)))
 	s.settings.Store(&next)
+	s.follower.SetSeeds(next.Seeds)
 	s.responder.ConfigureShares(next.Bounds, s.follower.State())
 	klog.InfoS("settings reloaded", "seeds", len(next.Seeds), "store", next.StoreAddress)
 }
