A daemon that has not heard from another one takes no slack of the retry budget

Cause: a daemon alone took its number of live daemons, at last one, for that of the tier, and the whole slack with it. It can't know better, but that it has never heard from another.

Change: the state says whether the daemon has joined the others: from its tier's first start, if it needs no seeds, or joinPeriod after it first heard from another. Before, it spends the fraction of its own requests only. In joinPeriod it takes the number of daemons from its peers; that time began with the process, so that a daemon that was found later went by its own incomplete list.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -90,6 +90,9 @@
 	Fleet *planner.Fleet
 	// Daemons is the recent maximum of live daemons, this one included; at least one.
 	Daemons int
+	// Joined is false until joinPeriod after another daemon was first heard from, if there
+	// may be one. Until then Daemons says little about how many share what all may use.
+	Joined bool
 }
 
 // Ready reports whether the state has both routes and servers.
@@ -150,7 +153,8 @@
 	// time at which it was reached.
 	peakDaemons int
 	peakAt      time.Time
-	startedAt   time.Time
+	// heardAt is when another daemon was first heard from; zero before.
+	heardAt time.Time
 	// seeds holds the IP addresses of the seeds in the newest settings; never nil.
 	seeds atomic.Pointer[[]string]
 	// leaving is set once the daemon has begun to stop.
@@ -161,15 +165,14 @@
 func New(config Config) (*Follower, error) {
 	s := config.Settings
 	f := &Follower{
-		config:    config,
-		startedAt: time.Now(),
-		store:     platform.NewStore(config.Network, s.StoreAddress, config.OnStoreCall),
-		peers:     linker.New(config.Network, nil),
-		ready:     make(chan struct{}),
+		config: config,
+		store:  platform.NewStore(config.Network, s.StoreAddress, config.OnStoreCall),
+		peers:  linker.New(config.Network, nil),
+		ready:  make(chan struct{}),
 	}
 	f.seeds.Store(&s.Seeds)
 	f.address = f.peerAddress(s.IP)
-	f.state.Store(&State{Daemons: 1})
+	f.state.Store(&State{Daemons: 1, Joined: s.Bootstrap || len(f.otherSeeds()) == 0})
 	var err error
 	if f.listener, err = net.Listen("tcp", f.address); err != nil {
 		return nil, failer.Wrap("listen for peers", KindListen, err)
--- a/internal/follower/gossip.go
+++ b/internal/follower/gossip.go
@@ -87,6 +87,7 @@
 // handlePacket passes on observations and shared state, reports displaced searchers and
 // compares a peer's heads with this daemon's documents.
 func (f *Follower) handlePacket(now time.Time, packet *messenger.Packet) {
+	f.recordPeer(now, packet.GetFrom())
 	for _, displaced := range packet.GetDraining() {
 		f.config.OnDisplaced(now, displaced.GetSearcher())
 	}
@@ -184,6 +185,9 @@
 		reply = nil
 	}
 	now := time.Now()
+	if err == nil {
+		f.recordPeer(now, from)
+	}
 	f.handleSharedState(now, sentAt, reply)
 	f.handleHidden(now, reply)
 	return handle(now, reply, time.Duration(reply.GetAgeMillis())*time.Millisecond+now.Sub(sentAt))
--- a/internal/follower/shared.go
+++ b/internal/follower/shared.go
@@ -10,9 +10,9 @@
 )
 
 const (
-	// joinPeriod is the time after its start in which a daemon takes the number of daemons
-	// from its peers, since its own membership list is not complete yet. Later on, a
-	// number that only others believe in would never decrease.
+	// joinPeriod is the time after it first heard from another daemon in which a daemon
+	// takes the number of daemons from its peers, since its own membership list is not
+	// complete yet. Later on, a number that only others believe in would never decrease.
 	joinPeriod = 10 * time.Second
 	// maxDaemons bounds the number of daemons that a peer can make this one believe in.
 	maxDaemons = 10_000
@@ -31,7 +31,7 @@
 	if limits := told.GetRateLimits(); len(limits) > 0 {
 		f.config.OnRateLimits(now, decodeRateLimits(sentAt, limits))
 	}
-	if daemons := int(min(told.GetDaemons(), maxDaemons)); daemons > f.State().Daemons && now.Sub(f.startedAt) < joinPeriod {
+	if daemons := int(min(told.GetDaemons(), maxDaemons)); daemons > f.State().Daemons {
 		f.learnDaemonCount(now, daemons)
 	}
 }
@@ -47,11 +47,12 @@
 	return reply, nil
 }
 
-// learnDaemonCount raises the maximum of live daemons to a number that a peer told.
+// learnDaemonCount raises the maximum of live daemons to a number that a peer told, within
+// joinPeriod.
 func (f *Follower) learnDaemonCount(now time.Time, daemons int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if daemons <= f.peakDaemons {
+	if daemons <= f.peakDaemons || now.Sub(f.heardAt) >= joinPeriod {
 		return
 	}
 	f.peakDaemons, f.peakAt = daemons, now
--- a/internal/follower/state.go
+++ b/internal/follower/state.go
@@ -143,6 +143,27 @@
 	f.publish(&next)
 }
 
+// recordPeer records that the daemon with the given address has been heard from.
+func (f *Follower) recordPeer(now time.Time, from string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if from == f.address || !f.heardAt.IsZero() {
+		return
+	}
+	klog.InfoS("heard from another daemon for the first time", "peer", from)
+	f.heardAt = now
+	f.config.Scheduler.At(now.Add(joinPeriod), f.completeJoin)
+}
+
+// completeJoin publishes that this daemon has joined the others.
+func (f *Follower) completeJoin(time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	next := *f.state.Load()
+	next.Joined = true
+	f.publish(&next)
+}
+
 // publish makes a state the current one. The caller holds mu.
 func (f *Follower) publish(next *State) {
 	f.state.Store(next)
--- a/internal/responder/responder.go
+++ b/internal/responder/responder.go
@@ -149,6 +149,7 @@
 		started:   now,
 	}
 	r.backendSequence.Store(config.Rand.Uint64())
+	r.ConfigureShares(config.Settings.Bounds, config.State())
 	config.Scheduler.Every(sweepInterval, r.sweep)
 	config.Scheduler.Every(reportInterval, r.shareObservations)
 	return r
@@ -159,9 +160,14 @@
 }
 
 // ConfigureShares configures this daemon's shares of the retry budget and of the
-// searchers' rate limits for new bounds or a new number of daemons.
+// searchers' rate limits for new bounds or a new state.
 func (r *Responder) ConfigureShares(bounds platform.Bounds, state *follower.State) {
-	r.budget.Configure(budgetConfig(bounds), state.Daemons)
+	budget := budgetConfig(bounds)
+	if !state.Joined {
+		// Each daemon of a tier that cannot find the others would take the whole.
+		budget.Slack = 0
+	}
+	r.budget.Configure(budget, state.Daemons)
 	r.limiter.Configure(time.Now(), state.Daemons)
 }
 
--- a/internal/stager/tier_membership_test.go
+++ b/internal/stager/tier_membership_test.go
@@ -17,13 +17,17 @@
 // seedCount is the number of seeds in the settings of a tier: its first daemons.
 const seedCount = 3
 
-// newTierWithoutSeeds starts a tier of six daemons and kills the seeds for good. It returns
-// the tier and the numbers of the daemons that remain.
-func newTierWithoutSeeds(t *testing.T) (tier *stager.Tier, remaining []int) {
+// newTierWithoutSeeds starts a tier and kills the seeds for good. It returns the tier and the
+// numbers of the daemons that remain.
+func newTierWithoutSeeds(t *testing.T, daemonsPerDomain int) (tier *stager.Tier, remaining []int) {
 	t.Helper()
 	is := is.New(t)
-	tier = newTier(t, func(c *stager.TierConfig) { c.DaemonsPerDomain = 2 })
-	awaitMembership(t, tier, []int{0, 1, 2, 3, 4, 5})
+	tier = newTier(t, func(c *stager.TierConfig) { c.DaemonsPerDomain = daemonsPerDomain })
+	all := make([]int, len(tier.Daemons))
+	for n := range all {
+		all[n] = n
+	}
+	awaitMembership(t, tier, all)
 	for n := range tier.Daemons {
 		if n >= seedCount {
 			remaining = append(remaining, n)
@@ -59,7 +63,7 @@
 func TestTierFindsRestartedDaemonsWithoutSeeds(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	tier, remaining := newTierWithoutSeeds(t)
+	tier, remaining := newTierWithoutSeeds(t, 2)
 	for _, n := range remaining {
 		tier.Daemons[n].Stop()
 		is.NoErr(<-tier.Daemons[n].RunErr)
@@ -71,22 +75,31 @@
 	awaitMembership(t, tier, remaining)
 }
 
-// TestTierFollowsChangedSeeds guards against daemons that go on asking the seeds of the
-// settings with which they started: killed at once, none knows another that is alive.
-func TestTierFollowsChangedSeeds(t *testing.T) {
-	t.Parallel()
+// restartAtOnce kills daemons at the same time and starts them again.
+func restartAtOnce(t *testing.T, tier *stager.Tier, daemons []int) {
+	t.Helper()
 	is := is.New(t)
-	tier, remaining := newTierWithoutSeeds(t)
-	for _, n := range remaining {
+	for _, n := range daemons {
 		tier.Daemons[n].Kill()
 		is.NoErr(<-tier.Daemons[n].RunErr)
 	}
-	for _, n := range remaining {
+	for _, n := range daemons {
 		_, err := tier.StartDaemon(n, false)
 		is.NoErr(err)
 	}
-	for _, n := range remaining {
+	for _, n := range daemons {
 		eventually(t, "the daemon is ready", tier.Daemons[n].IsReady)
+	}
+}
+
+// TestTierFollowsChangedSeeds guards against daemons that go on asking the seeds of the
+// settings with which they started: killed at once, none knows another that is alive.
+func TestTierFollowsChangedSeeds(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	tier, remaining := newTierWithoutSeeds(t, 2)
+	restartAtOnce(t, tier, remaining)
+	for _, n := range remaining {
 		next := tier.Daemons[n].Settings
 		next.Seeds = []string{tier.Daemons[remaining[0]].Settings.IP}
 		data, err := platform.EncodeSettings(next)
