--- a/internal/emulator/backend.go
+++ b/internal/emulator/backend.go
@@ -8,7 +8,9 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -40,6 +42,12 @@
 	ForgetIdle bool `json:"forgetIdle"`
 	// StatusCode is sent in the status line of each reply, such as 000; empty sends 200.
 	StatusCode string `json:"statusCode"`
+	// CutAfter closes the connection after so many bytes of each reply, or resets it if Reset
+	// is set; zero sends whole replies. It applies to replies with a length and, with
+	// Unframed or Chunked, to others.
+	CutAfter int `json:"cutAfter"`
+	// Chunked sends replies in chunks.
+	Chunked bool `json:"chunked"`
 	// HeaderLine is added to the head of each reply as it is, valid or not.
 	HeaderLine string `json:"headerLine"`
 }
@@ -225,7 +233,7 @@
 	switch {
 	case faults.Fail:
 		w.WriteHeader(http.StatusInternalServerError)
-	case faults.Reset, faults.Truncate, faults.Unframed, faults.Extra, faults.ForgetIdle, faults.StatusCode != "", faults.HeaderLine != "":
+	case faults.Reset, faults.Truncate, faults.Unframed, faults.Extra, faults.ForgetIdle, faults.StatusCode != "", faults.HeaderLine != "", faults.CutAfter != 0, faults.Chunked:
 		b.writeFaultyReply(w, request, faults, body)
 	default:
 		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
@@ -258,6 +266,8 @@
 		return text + "\r\n"
 	}
 	switch {
+	case faults.CutAfter != 0 || faults.Chunked:
+		cutReply(conn, encodeReply(header, request.ID, body, faults), faults)
 	case faults.Reset:
 		if tcp, ok := conn.(*net.TCPConn); ok {
 			_ = tcp.SetLinger(0)
@@ -284,6 +294,37 @@
 	}
 }
 
+// encodeReply returns a reply as it is sent, framed as the faults say. header returns its
+// head for an ID and a length.
+func encodeReply(header func(id string, length int) string, id string, body []byte, faults BackendFaults) string {
+	switch {
+	case faults.Chunked:
+		const chunk = 48
+		text := strings.TrimSuffix(header(id, -1), "\r\n") + "Transfer-Encoding: chunked\r\n\r\n"
+		for part := range slices.Chunk(body, chunk) {
+			text += fmt.Sprintf("%x\r\n%s\r\n", len(part), part)
+		}
+		return text + "0\r\n\r\n"
+	case faults.Unframed:
+		return header(id, -1) + string(body)
+	default:
+		return header(id, len(body)) + string(body)
+	}
+}
+
+// cutReply sends a reply up to the byte after which the faults cut it.
+func cutReply(conn net.Conn, reply string, faults BackendFaults) {
+	if faults.CutAfter != 0 {
+		reply = reply[:min(faults.CutAfter, len(reply))]
+	}
+	_, _ = io.WriteString(conn, reply)
+	if tcp, ok := conn.(*net.TCPConn); ok && faults.Reset {
+		// A reset that follows at once would discard what has been sent.
+		time.Sleep(faultDelay)
+		_ = tcp.SetLinger(0)
+	}
+}
+
 // faultDelay is the time between a reply and the unsolicited reply or the close of
 // the connection that follows it.
 const faultDelay = 20 * time.Millisecond
--- a/internal/emulator/searcher.go
+++ b/internal/emulator/searcher.go
@@ -1,6 +1,7 @@
 package emulator
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -50,6 +51,10 @@
 	OutlierFactor float64 `json:"outlierFactor"`
 	// Truncate closes the connection after half of the body that Content-Length announces.
 	Truncate bool `json:"truncate"`
+	// CutAfter closes the connection after so many bytes of each reply, which has no length
+	// if Unframed is set; zero sends whole replies with a length.
+	CutAfter int  `json:"cutAfter"`
+	Unframed bool `json:"unframed"`
 	// Crossed replies with the request ID of a different request.
 	Crossed bool `json:"crossed"`
 	// WrongSnapshot replies from a snapshot other than the requested one.
@@ -367,9 +372,32 @@
 		_, _ = w.Write(hits[:len(hits)/2])
 		return
 	}
+	if faults.CutAfter > 0 {
+		if faults.Unframed {
+			h.Del("Content-Length")
+		}
+		writeCutReply(w, hits, faults.CutAfter)
+		return
+	}
 	_, _ = w.Write(hits)
 }
 
+// writeCutReply sends the first bytes of a reply with the headers of w, and closes the
+// connection.
+func writeCutReply(w http.ResponseWriter, body []byte, length int) {
+	var reply bytes.Buffer
+	reply.WriteString("HTTP/1.1 200 OK\r\n")
+	_ = w.Header().Write(&reply)
+	reply.WriteString("\r\n")
+	reply.Write(body)
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	_, _ = conn.Write(reply.Bytes()[:min(length, reply.Len())])
+	_ = conn.Close()
+}
+
 // hits returns three hits whose content depends only on shard, snapshot and query.
 func (s *Searcher) hits(request framer.Request, body []byte) []byte {
 	hits := make([]framer.Hit, 3)
--- a/pkg/caller/client_test.go
+++ b/pkg/caller/client_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"net"
 	"net/http"
 	"testing"
@@ -59,3 +60,27 @@
 		})
 	}
 }
+
+// TestCutReplyIsNoAnswer guards against a reply that ends at any byte and is returned as an
+// answer.
+func TestCutReplyIsNoAnswer(t *testing.T) {
+	t.Parallel()
+	const body = `{"outcome":"answered","coverage":{"known":true,"shards":1,"answered":1,"fraction":1}}`
+	for name, head := range map[string]string{
+		"with a length": fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n", len(body)),
+		"until the end": "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			for cut := range len(head) + len(body) {
+				client := caller.New(serveReply(t, (head + body)[:cut]), &http.Client{})
+				answer, err := client.Search(t.Context(), caller.Request{Service: "s"})
+				is.Equal(answer.Outcome, caller.OutcomeUnknown)
+				is.True(failer.Is(err, caller.KindUnknown))
+				_, err = client.Ticket(t.Context())
+				is.True(failer.Is(err, caller.KindNotRun))
+			}
+		})
+	}
+}
