Members that missed the announcements of each other are told

Callers saw nothing yet.

Cause: a record is announced in a few packets only. Two members that both missed the announcement of the other never probe each other, and nobody tells them any more.

Change: a probe carries the records of two random live members besides.

--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -43,6 +43,9 @@
 	indirectProbes = 3
 	// maxUpdatesPerPacket is the maximum number of queued updates in a packet.
 	maxUpdatesPerPacket = 12
+	// randomRecords is the number of records of random members that a probe carries, so that
+	// two members which missed the announcements of each other learn of each other.
+	randomRecords = 2
 	// pushTargets is the number of members that an urgent update is sent to at once.
 	pushTargets = 4
 	// retransmitFactor times the number of decimal digits of the member count is the
@@ -251,7 +254,11 @@
 	if probeTarget, ok := m.nextTarget(); ok {
 		m.sequence++
 		m.probeTarget, m.probeSequence, m.probeStartedAt, m.indirectSent = probeTarget, m.sequence, now, false
-		out = append(out, m.newPacket(probeTarget, kindPing, m.sequence, ""))
+		probe := m.newPacket(probeTarget, kindPing, m.sequence, "")
+		for _, address := range m.randomAlive(randomRecords, probeTarget) {
+			probe.Packet.Members = append(probe.Packet.Members, m.members[address].record)
+		}
+		out = append(out, probe)
 	}
 	out = append(out, m.pingReturning(now)...)
 	if m.periodCount%deadProbePeriods != 0 {
--- a/internal/prober/prober_test.go
+++ b/internal/prober/prober_test.go
@@ -200,6 +200,36 @@
 	})
 }
 
+// TestMembersThatMissedEachOtherAreFound guards against two members that missed the
+// announcements of each other: neither probes the other, and no announcement follows.
+func TestMembersThatMissedEachOtherAreFound(t *testing.T) {
+	for _, size := range []int{4, 18, 40} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			is := is.New(t)
+			for seed := range uint64(10) {
+				c := newCluster(size, 0.02, seed)
+				var records [2]*messenger.Member
+				var others []*messenger.Member
+				for _, record := range c.machines[0].Members() {
+					if index := c.indexes[record.GetAddress()]; index < 2 {
+						records[index] = record
+					} else {
+						others = append(others, record)
+					}
+				}
+				for n, self := range records {
+					c.machines[n] = prober.New(prober.DefaultConfig(self, rand.New(rand.NewPCG(seed, uint64(n)))))
+					c.machines[n].Seed(start, others)
+				}
+				found := func() bool { return c.countViews(0, prober.Alive) == size-1 && c.countViews(1, prober.Alive) == size-1 }
+				// A record comes with one of size/randomRecords probes, of which there is one a second.
+				c.run(10*time.Duration(size)*time.Second, found)
+				is.True(found())
+			}
+		})
+	}
+}
+
 // loseFirst silences the first n members for good and returns their addresses, as seeds.
 func (c *cluster) loseFirst(n int) []*messenger.Member {
 	seeds := make([]*messenger.Member, n)
