Daemons find each other in the store while no seed is alive

A daemon on a new VM stayed alone, too.

Cause: nothing but the seeds of the settings leads a starting daemon to the others.

Change: while no seed is alive, a daemon that knows no other registers in the store and asks those that did; of those that know each other the first registers. A registration is a hint: it adds a member that the membership protocol probes like a seed. The emulated store takes writes.

Evidence: TestTierFindsDaemonsInTheStore and TestTierFindsNewDaemonsWithoutSeeds pass; the second failed with the registration of the first daemon taken out.

--- a/internal/emulator/store.go
+++ b/internal/emulator/store.go
@@ -174,6 +174,10 @@
 	if faults.Slow > 0 {
 		time.Sleep(faults.Slow)
 	}
+	if r.Method != http.MethodGet {
+		s.handleWrite(w, r)
+		return
+	}
 	call, err := platform.ParseStoreCall(r)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
@@ -198,6 +202,28 @@
 	}
 }
 
+// handleWrite creates or replaces an object. It responds with 409 Conflict to a creation if
+// there is one of the name, and with 404 Not Found to a replacement if there is none.
+func (s *Store) handleWrite(w http.ResponseWriter, r *http.Request) {
+	kind, o, replaces, err := platform.ParseStoreWrite(r)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	_, exists := s.objects[kind][o.Name]
+	platform.WriteStoreEra(w.Header(), s.era)
+	s.mu.Unlock()
+	switch {
+	case exists && !replaces:
+		w.WriteHeader(http.StatusConflict)
+	case !exists && replaces:
+		w.WriteHeader(http.StatusNotFound)
+	default:
+		s.Put(kind, o.Name, o.Spec)
+	}
+}
+
 func (s *Store) faultsFor(remote string) StoreFaults {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -255,6 +255,7 @@
 			readLoop(ctx, f, f.servers)
 		},
 		func() { f.fetchFromSeeds(ctx) },
+		func() { f.discoverInStore(ctx) },
 		func() { _ = f.gossip.Run() },
 		func() { _ = f.server.Serve(ctx, f.listener) },
 	} {
--- a/internal/stager/tier_membership_test.go
+++ b/internal/stager/tier_membership_test.go
@@ -109,3 +109,33 @@
 	}
 	awaitMembership(t, tier, remaining)
 }
+
+// TestTierFindsDaemonsInTheStore guards against daemons that are killed at once while the
+// seeds are gone, and each stay alone; a daemon that starts later must find them, too.
+func TestTierFindsDaemonsInTheStore(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	tier, remaining := newTierWithoutSeeds(t, 3)
+	last := remaining[len(remaining)-1]
+	tier.Daemons[last].Kill()
+	is.NoErr(<-tier.Daemons[last].RunErr)
+	remaining = remaining[:len(remaining)-1]
+	restartAtOnce(t, tier, remaining)
+	awaitMembership(t, tier, remaining)
+	_, err := tier.StartDaemon(last, false)
+	is.NoErr(err)
+	awaitMembership(t, tier, append(remaining, last))
+}
+
+// TestTierFindsNewDaemonsWithoutSeeds guards against a daemon on a new VM that stays alone
+// because the seeds are gone: those that know each other have no reason to look for it.
+func TestTierFindsNewDaemonsWithoutSeeds(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	tier, remaining := newTierWithoutSeeds(t, 2)
+	awaitMembership(t, tier, remaining)
+	added := len(tier.Daemons)
+	_, err := tier.StartDaemon(added, false)
+	is.NoErr(err)
+	awaitMembership(t, tier, append(remaining, added))
+}
