Tests of probing and of renewed seeds keep the store from helping

TestTierFindsRestartedDaemonsWithoutSeeds had the same gap.

Change: the emulated store can reject writes; both tests make it do so, so that they check what their names say. Their waits and checks are unchanged.

--- a/internal/emulator/store.go
+++ b/internal/emulator/store.go
@@ -15,6 +15,8 @@
 type StoreFaults struct {
 	// Refuse is the HTTP status with which every call is rejected; zero rejects none.
 	Refuse int `json:"refuse"`
+	// ReadOnly rejects calls that change objects.
+	ReadOnly bool `json:"readOnly"`
 	// Silent accepts calls but never replies.
 	Silent bool `json:"silent"`
 	// Deaf hides all changes from watches.
@@ -170,6 +172,9 @@
 	case faults.Refuse > 0:
 		w.WriteHeader(faults.Refuse)
 		return
+	case faults.ReadOnly && r.Method != http.MethodGet:
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
 	}
 	if faults.Slow > 0 {
 		time.Sleep(faults.Slow)
--- a/internal/stager/tier_membership_test.go
+++ b/internal/stager/tier_membership_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/fuchsiastile/fuchsiastile/internal/emulator"
 	"github.com/fuchsiastile/fuchsiastile/internal/stager"
 	"github.com/fuchsiastile/fuchsiastile/platform"
 )
@@ -39,6 +40,9 @@
 	return tier, remaining
 }
 
+// withoutDiscovery keeps daemons from finding each other through the store.
+func withoutDiscovery(tier *stager.Tier) { tier.Store.SetFaults(emulator.StoreFaults{ReadOnly: true}) }
+
 // awaitMembership waits until each of the daemons knows that exactly these are alive.
 func awaitMembership(t *testing.T, tier *stager.Tier, daemons []int) {
 	t.Helper()
@@ -64,6 +68,7 @@
 	t.Parallel()
 	is := is.New(t)
 	tier, remaining := newTierWithoutSeeds(t, 2)
+	withoutDiscovery(tier)
 	for _, n := range remaining {
 		tier.Daemons[n].Stop()
 		is.NoErr(<-tier.Daemons[n].RunErr)
@@ -98,6 +103,7 @@
 	t.Parallel()
 	is := is.New(t)
 	tier, remaining := newTierWithoutSeeds(t, 2)
+	withoutDiscovery(tier)
 	restartAtOnce(t, tier, remaining)
 	for _, n := range remaining {
 		next := tier.Daemons[n].Settings
