--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -21,6 +21,7 @@
 	"github.com/oklog/run"
 	"k8s.io/klog/v2"
 
+	"github.com/fuchsiastile/fuchsiastile/internal/acceptor"
 	"github.com/fuchsiastile/fuchsiastile/internal/dialer"
 	"github.com/fuchsiastile/fuchsiastile/internal/failer"
 	"github.com/fuchsiastile/fuchsiastile/internal/follower"
@@ -93,7 +94,6 @@
 	killOnce sync.Once
 	// reloadRequested holds at most one pending request to read the settings again.
 	reloadRequested chan struct{}
-	idleCloser      *idleCloser
 
 	callerServer, readinessServer, metricsServer boundServer
 }
@@ -102,7 +102,7 @@
 // address to listen on is empty.
 type boundServer struct {
 	*http.Server
-	listener net.Listener
+	conns *acceptor.Acceptor
 }
 
 // New reads the settings, creates the components and opens the listening sockets.
@@ -114,7 +114,7 @@
 	}
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(softMemoryLimitRatio * float64(settings.MemoryBytes)))
-	s := &Supervisor{config: config, metrics: vm.NewSet(), scheduler: scheduler.New(), idleCloser: newIdleCloser(), stopRequested: make(chan struct{}), expired: make(chan struct{}), killed: make(chan struct{}), reloadRequested: make(chan struct{}, 1)}
+	s := &Supervisor{config: config, metrics: vm.NewSet(), scheduler: scheduler.New(), stopRequested: make(chan struct{}), expired: make(chan struct{}), killed: make(chan struct{}), reloadRequested: make(chan struct{}, 1)}
 	s.settings.Store(&settings)
 	storeCalls := s.metrics.NewCounter("platformCallsTotal")
 	s.follower, err = follower.New(follower.Config{
@@ -183,8 +183,9 @@
 			s.closeListeners()
 			return failer.Wrap("listen on "+endpoint.address, KindListen, err)
 		}
-		httpServer := &http.Server{Handler: endpoint.handler, ReadHeaderTimeout: maxServerTimeout, IdleTimeout: maxServerTimeout, ConnState: s.idleCloser.trackState}
-		*endpoint.server = boundServer{Server: httpServer, listener: l}
+		conns := acceptor.New(l, s.recordCut)
+		httpServer := &http.Server{Handler: endpoint.handler, ReadHeaderTimeout: maxServerTimeout, IdleTimeout: maxServerTimeout, ConnState: conns.TrackState}
+		*endpoint.server = boundServer{Server: httpServer, conns: conns}
 	}
 	return nil
 }
@@ -196,18 +197,44 @@
 	if state := s.follower.State(); state.Ready() {
 		limits = state.Table.Configuration().Limits
 	}
-	if n := s.idleCloser.sweep(now, limits.HeaderTimeout, limits.IdleTimeout); n > 0 {
-		klog.V(1).InfoS("closed idle connections", "connections", n)
+	applied := connectionLimits(limits)
+	closed := 0
+	for _, server := range s.servers() {
+		closed += server.conns.Sweep(now, applied)
 	}
+	if closed > 0 {
+		s.metrics.GetOrCreateCounter("idleConnectionsClosedTotal").Add(closed)
+		klog.InfoS("closed idle connections", "connections", closed, "idleTimeoutMillis", applied.Idle.Milliseconds(), "headerTimeoutMillis", applied.Head.Milliseconds())
+	}
+}
+
+// recordCut logs and counts a request that a closed connection leaves unanswered. A caller
+// that leaves is not logged.
+func (s *Supervisor) recordCut(cut acceptor.Cut) {
+	s.metrics.GetOrCreateCounter(fmt.Sprintf(`cutRequestsTotal{cause=%q}`, cut.Cause)).Inc()
+	if cut.Cause == acceptor.CauseCaller {
+		return
+	}
+	klog.InfoS("connection closed with a request unanswered", "cause", cut.Cause, "remote", cut.Remote, "state", cut.State.String(), "bytes", cut.Bytes,
+		"sinceFirstByteMillis", cut.SinceFirstByte.Milliseconds(), "sinceLastByteMillis", cut.SinceLastByte.Milliseconds(), "stopping", s.stop.Load() != nil)
+}
+
+// servers returns the servers that have an address to listen on.
+func (s *Supervisor) servers() []boundServer {
+	var bound []boundServer
+	for _, server := range []boundServer{s.callerServer, s.readinessServer, s.metricsServer} {
+		if server.conns != nil {
+			bound = append(bound, server)
+		}
+	}
+	return bound
 }
 
 // closeListeners closes the listeners and the follower after listen has failed, so
 // that Run is not called.
 func (s *Supervisor) closeListeners() {
-	for _, server := range []boundServer{s.callerServer, s.readinessServer, s.metricsServer} {
-		if server.listener != nil {
-			_ = server.listener.Close()
-		}
+	for _, server := range s.servers() {
+		_ = server.conns.Close()
 	}
 	s.follower.Close()
 }
@@ -272,10 +299,8 @@
 	group.Add(func() error { return s.follower.Run(ctx) }, func(error) { cancel() })
 	group.Add(func() error { return s.awaitStop(ctx) }, func(error) { cancel() })
 	group.Add(func() error { return s.watchSettings(ctx) }, func(error) { cancel() })
-	for _, server := range []boundServer{s.callerServer, s.readinessServer, s.metricsServer} {
-		if server.listener != nil {
-			group.Add(func() error { return server.serve(ctx) }, func(error) { _ = server.Close() })
-		}
+	for _, server := range s.servers() {
+		group.Add(func() error { return server.serve(ctx) }, func(error) { _ = server.Close() })
 	}
 	err := group.Run()
 	s.responder.Close()
@@ -286,7 +311,7 @@
 // serve runs the server. After a Shutdown it returns only once ctx is done: the
 // run group ends with its first member, which must be the completed stop.
 func (b boundServer) serve(ctx context.Context) error {
-	err := b.Serve(b.listener)
+	err := b.Serve(b.conns)
 	if errors.Is(err, http.ErrServerClosed) {
 		<-ctx.Done()
 		return nil
