--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -1,5 +1,7 @@
-// Package acceptor accepts callers' connections, closes those that exceed the limits for
-// idle connections, and reports the requests that a closed connection leaves unanswered.
+// Package acceptor accepts callers' connections for an HTTP server and ends them when they
+// exceed a limit. It never closes a connection from which a byte of a request has been read,
+// unless the rest takes too long. It reports the requests that a closed connection leaves
+// unanswered.
 package acceptor
 
 import (
@@ -16,8 +18,8 @@
 const (
 	// CauseCaller means that the caller closed or reset the connection.
 	CauseCaller Cause = "caller"
-	// CauseIdle means that the connection exceeded a limit of the configuration.
-	CauseIdle Cause = "idleLimit"
+	// CauseLimit means that the connection exceeded a limit.
+	CauseLimit Cause = "limit"
 	// CauseServer means that the HTTP server closed the connection.
 	CauseServer Cause = "server"
 )
@@ -27,18 +29,28 @@
 type Cut struct {
 	Remote string
 	Cause  Cause
-	// State is the last state that the HTTP server reported.
-	State http.ConnState
+	// IsActive reports whether the HTTP server had the head of the request.
+	IsActive bool
 	// Bytes is how much of the request had been read.
 	Bytes int
 	// SinceFirstByte and SinceLastByte are the times since its first and last read bytes.
 	SinceFirstByte, SinceLastByte time.Duration
 }
 
+// Limits bound how long a caller may take.
+type Limits struct {
+	// New is the time from the beginning of a connection to the first byte of a request.
+	New time.Duration
+	// Idle is the time between a response and the first byte of the next request.
+	Idle time.Duration
+	// Head is the time from the first byte of a request to the end of its head.
+	Head time.Duration
+}
+
 // Acceptor is the listener of an HTTP server. It is safe for concurrent use.
 type Acceptor struct {
-	net.Listener
-	onCut func(Cut)
+	listener net.Listener
+	onCut    func(Cut)
 
 	mu sync.Mutex
 	// conns holds the open connections.
@@ -48,49 +60,46 @@
 // New returns an Acceptor that accepts connections from listener. It calls onCut for every
 // cut request.
 func New(listener net.Listener, onCut func(Cut)) *Acceptor {
-	return &Acceptor{Listener: listener, onCut: onCut, conns: map[*Conn]struct{}{}}
+	return &Acceptor{listener: listener, onCut: onCut, conns: map[*Conn]struct{}{}}
 }
 
+// Addr implements net.Listener.
+func (a *Acceptor) Addr() net.Addr { return a.listener.Addr() }
+
 // Accept implements net.Listener. Its connections are of type *Conn.
 func (a *Acceptor) Accept() (net.Conn, error) {
-	accepted, err := a.Listener.Accept()
+	accepted, err := a.listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	c := &Conn{Conn: accepted, acceptor: a, state: http.StateNew, waitingSince: time.Now()}
+	c := &Conn{Conn: accepted, acceptor: a, isNew: true, phaseSince: time.Now()}
 	a.mu.Lock()
+	defer a.mu.Unlock()
 	a.conns[c] = struct{}{}
-	a.mu.Unlock()
 	return c, nil
 }
 
+// Close implements net.Listener. It leaves the accepted connections open.
+func (a *Acceptor) Close() error { return a.listener.Close() }
+
 // TrackState records the state of one of the acceptor's connections; it is an
 // http.Server's ConnState hook.
 func (a *Acceptor) TrackState(c net.Conn, state http.ConnState) {
 	if tracked, ok := c.(*Conn); ok {
-		tracked.setState(state)
+		tracked.trackState(state)
 	}
 }
 
-// Limits bound how long a caller may take.
-type Limits struct {
-	// Head is the time for the head of a request.
-	Head time.Duration
-	// Idle is the time between a response and the next request.
-	Idle time.Duration
-}
-
-// Sweep closes the connections that have been idle, or have not begun their first request,
-// for longer than their limit and returns how many.
+// Sweep makes the HTTP server close the connections that exceed their limit, unless a
+// request arrives first, and returns how many there are.
 func (a *Acceptor) Sweep(now time.Time, limits Limits) int {
-	closed := 0
+	expired := 0
 	for _, c := range a.openConns() {
-		if c.isExpired(now, limits) {
-			_ = c.closeFor(CauseIdle)
-			closed++
+		if c.expire(now, limits) {
+			expired++
 		}
 	}
-	return closed
+	return expired
 }
 
 func (a *Acceptor) openConns() []*Conn {
--- a/internal/acceptor/acceptor_test.go
+++ b/internal/acceptor/acceptor_test.go
@@ -1,65 +1,274 @@
 package acceptor
 
 import (
+	"bufio"
 	"errors"
+	"io"
+	"maps"
 	"net"
 	"net/http"
 	"os"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 )
 
-// openPair returns a connection that was accepted from a, and its caller's end.
-func openPair(t *testing.T, a *Acceptor) (accepted *Conn, caller net.Conn) {
+const request = "GET / HTTP/1.1\r\nHost: tier.example\r\n\r\n"
+
+// served is an HTTP server whose connections an Acceptor accepts.
+type served struct {
+	*Acceptor
+	is *is.I
+	mu sync.Mutex
+	// cuts holds the reports of cut requests.
+	cuts []Cut
+	// release ends the handlers of requests to /wait.
+	release chan struct{}
+}
+
+// serve starts a server that answers every request, asking its callers to close their
+// connections if closeAfter is set.
+func serve(t *testing.T, closeAfter bool) *served {
 	t.Helper()
+	s := &served{is: is.New(t), release: make(chan struct{})}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	s.is.NoErr(err)
+	s.Acceptor = New(l, s.recordCut)
+	server := &http.Server{ReadHeaderTimeout: time.Minute, ConnState: s.TrackState, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/wait" {
+			<-s.release
+		}
+		if closeAfter {
+			w.Header().Set("Connection", "close")
+		}
+	})}
+	done := make(chan error, 1)
+	go func() { done <- server.Serve(s.Acceptor) }()
+	t.Cleanup(func() {
+		_ = server.Close()
+		s.is.Equal(<-done, http.ErrServerClosed)
+	})
+	return s
+}
+
+func (s *served) recordCut(c Cut) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cuts = append(s.cuts, c)
+}
+
+// cutCauses returns the causes of the cut requests.
+func (s *served) cutCauses() []Cause {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var causes []Cause
+	for _, c := range s.cuts {
+		causes = append(causes, c.Cause)
+	}
+	return causes
+}
+
+// client is a caller's end of a connection.
+type client struct {
+	net.Conn
+	is     *is.I
+	reader *bufio.Reader
+}
+
+// dial opens a connection and waits until the acceptor has it.
+func (s *served) dial() *client {
+	before := len(s.openConns())
+	conn, err := net.Dial("tcp", s.Addr().String())
+	s.is.NoErr(err)
+	for len(s.openConns()) == before {
+		time.Sleep(time.Millisecond)
+	}
+	return &client{Conn: conn, is: s.is, reader: bufio.NewReader(conn)}
+}
+
+func (c *client) send(text string) {
+	_, err := io.WriteString(c, text)
+	c.is.NoErr(err)
+}
+
+// awaitAnswer reads an answer and checks its status.
+func (c *client) awaitAnswer(status int) {
+	c.is.NoErr(c.SetReadDeadline(time.Now().Add(closeWait)))
+	response, err := http.ReadResponse(c.reader, nil)
+	c.is.NoErr(err)
+	c.is.Equal(response.StatusCode, status)
+	c.is.NoErr(response.Body.Close())
+}
+
+// isClosed reports whether the server closes the connection within the given time.
+func (c *client) isClosed(wait time.Duration) bool {
+	c.is.NoErr(c.SetReadDeadline(time.Now().Add(wait)))
+	_, err := c.reader.ReadByte()
+	return !errors.Is(err, os.ErrDeadlineExceeded)
+}
+
+const (
+	// closeWait is the time for a close that must come, stayWait for one that must not.
+	closeWait, stayWait = 10 * time.Second, 100 * time.Millisecond
+)
+
+// awaitPhases waits until so many connections are in each phase.
+func (s *served) awaitPhases(waiting, receiving, active int) {
+	want := map[phase]int{phaseWaiting: waiting, phaseReceiving: receiving, phaseActive: active}
+	for {
+		got := map[phase]int{phaseWaiting: 0, phaseReceiving: 0, phaseActive: 0}
+		for _, c := range s.openConns() {
+			c.mu.Lock()
+			got[c.phase]++
+			c.mu.Unlock()
+		}
+		if maps.Equal(got, want) {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// TestSweepAppliesChangedLimits guards against closing connections by an outdated limit
+// after the configuration has raised or lowered it.
+func TestSweepAppliesChangedLimits(t *testing.T) {
+	t.Parallel()
+	s := serve(t, false)
+	is := s.is
+	idle, active, unused := s.dial(), s.dial(), s.dial()
+	idle.send(request)
+	idle.awaitAnswer(http.StatusOK)
+	active.send("GET /wait HTTP/1.1\r\nHost: tier.example\r\n\r\n")
+	s.awaitPhases(2, 0, 1)
+	at := func(elapsed time.Duration) time.Time { return time.Now().Add(elapsed) }
+
+	is.Equal(s.Sweep(at(90*time.Second), Limits{New: 2 * time.Minute, Idle: 2 * time.Minute, Head: 5 * time.Second}), 0) // the limit was raised
+	is.True(!idle.isClosed(stayWait))
+	is.Equal(s.Sweep(at(16*time.Second), Limits{New: 15 * time.Second, Idle: 15 * time.Second, Head: 3 * time.Second}), 2) // the limit was lowered
+	is.True(idle.isClosed(closeWait))
+	is.True(unused.isClosed(closeWait))
+	is.True(!active.isClosed(stayWait))
+	close(s.release)
+	active.awaitAnswer(http.StatusOK)
+	s.awaitPhases(1, 0, 0)
+	is.Equal(s.Sweep(at(59*time.Second), Limits{New: time.Minute, Idle: time.Minute, Head: time.Second}), 0)
+	is.Equal(s.Sweep(at(61*time.Second), Limits{New: time.Minute, Idle: time.Minute, Head: time.Second}), 1)
+	is.True(active.isClosed(closeWait))
+	is.Equal(len(s.cutCauses()), 0)
+}
+
+// TestSweepLeavesRequestsThatWereRead guards against closing a connection whose request has
+// been read while the HTTP server still reports it as idle.
+func TestSweepLeavesRequestsThatWereRead(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	a := New(l, func(Cut) {})
+	defer func() { _ = a.Close() }()
 	caller, err := net.Dial("tcp", a.Addr().String())
 	is.NoErr(err)
-	t.Cleanup(func() { _ = caller.Close() })
+	defer func() { _ = caller.Close() }()
 	conn, err := a.Accept()
 	is.NoErr(err)
-	return conn.(*Conn), caller
+	a.TrackState(conn, http.StateActive)
+	a.TrackState(conn, http.StateIdle)
+	_, err = io.WriteString(caller, request)
+	is.NoErr(err)
+	buffer := make([]byte, 1000)
+	n, err := conn.Read(buffer[:10])
+	is.NoErr(err)
+	is.Equal(n, 10)
+	is.Equal(a.Sweep(time.Now().Add(time.Second), Limits{Head: time.Minute}), 0)
+	n, err = conn.Read(buffer)
+	is.NoErr(err)
+	is.Equal(n, len(request)-10)
 }
 
-func newAcceptor(t *testing.T, onCut func(Cut)) *Acceptor {
-	t.Helper()
+// TestExpiredConnectionsReadWhatHasArrived guards against closing a connection whose request
+// has arrived when its limit ends.
+func TestExpiredConnectionsReadWhatHasArrived(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
-	is.New(t).NoErr(err)
-	t.Cleanup(func() { _ = l.Close() })
-	return New(l, onCut)
+	is.NoErr(err)
+	a := New(l, func(Cut) {})
+	defer func() { _ = a.Close() }()
+	caller, err := net.Dial("tcp", a.Addr().String())
+	is.NoErr(err)
+	defer func() { _ = caller.Close() }()
+	conn, err := a.Accept()
+	is.NoErr(err)
+	is.Equal(a.Sweep(time.Now().Add(time.Second), Limits{}), 1)
+	_, err = io.WriteString(caller, request)
+	is.NoErr(err)
+	time.Sleep(50 * time.Millisecond)
+	is.NoErr(conn.SetReadDeadline(time.Now().Add(time.Minute))) // as the HTTP server does
+	buffer := make([]byte, 1000)
+	n, err := conn.Read(buffer)
+	is.NoErr(err)
+	is.Equal(string(buffer[:n]), request)
+
+	// The connection is not expired any more: a read waits for its deadline.
+	is.NoErr(conn.SetReadDeadline(time.Now().Add(50 * time.Millisecond)))
+	started := time.Now()
+	_, err = conn.Read(buffer)
+	is.True(errors.Is(err, os.ErrDeadlineExceeded))
+	is.True(time.Since(started) >= 50*time.Millisecond)
 }
 
-// TestSweepAppliesChangedLimits guards against closing connections by an outdated limit
-// after the configuration has raised or lowered it.
-func TestSweepAppliesChangedLimits(t *testing.T) {
+// TestSweepRacesWithRequests guards against cut requests while sweeps run at the moments at
+// which requests arrive: a request is answered, or its connection is closed unread.
+func TestSweepRacesWithRequests(t *testing.T) {
 	t.Parallel()
-	is := is.New(t)
-	a := newAcceptor(t, func(Cut) {})
-	open := func(state http.ConnState) net.Conn {
-		conn, _ := openPair(t, a)
-		a.TrackState(conn, state)
-		return conn
+	s := serve(t, false)
+	stop := make(chan struct{})
+	var sweeps sync.WaitGroup
+	sweeps.Go(func() {
+		for {
+			select {
+			case <-stop:
+				return
+			default:
+				s.Sweep(time.Now().Add(time.Second), Limits{Head: time.Minute})
+			}
+		}
+	})
+	var callers sync.WaitGroup
+	for range 8 {
+		callers.Go(func() {
+			for range 200 {
+				conn, err := net.Dial("tcp", s.Addr().String())
+				s.is.NoErr(err)
+				_, _ = io.WriteString(conn, request)
+				_, _ = io.Copy(io.Discard, conn)
+				_ = conn.Close()
+			}
+		})
 	}
-	isOpen := func(c net.Conn) bool {
-		_ = c.SetReadDeadline(time.Now())
-		_, err := c.Read(make([]byte, 1))
-		return errors.Is(err, os.ErrDeadlineExceeded)
+	callers.Wait()
+	close(stop)
+	sweeps.Wait()
+	for _, cause := range s.cutCauses() {
+		s.is.Equal(cause, CauseCaller)
 	}
-	idle, active, unused := open(http.StateIdle), open(http.StateIdle), open(http.StateNew)
-	a.TrackState(active, http.StateActive)
-	at := func(elapsed time.Duration) time.Time { return time.Now().Add(elapsed) }
+}
 
-	is.Equal(a.Sweep(at(90*time.Second), Limits{Head: 5 * time.Second, Idle: 2 * time.Minute}), 0) // the limit was raised
-	is.True(isOpen(idle))
-	is.Equal(a.Sweep(at(16*time.Second), Limits{Head: 3 * time.Second, Idle: 15 * time.Second}), 2) // the limit was lowered
-	is.True(!isOpen(idle))
-	is.True(!isOpen(unused))
-	is.True(isOpen(active))
-	a.TrackState(active, http.StateIdle)
-	is.Equal(a.Sweep(at(59*time.Second), Limits{Head: time.Second, Idle: time.Minute}), 0)
-	is.Equal(a.Sweep(at(61*time.Second), Limits{Head: time.Second, Idle: time.Minute}), 1)
+// TestSlowHeadsAreRefused covers the limit for heads that do not arrive whole.
+func TestSlowHeadsAreRefused(t *testing.T) {
+	t.Parallel()
+	s := serve(t, false)
+	c := s.dial()
+	c.send(request[:20])
+	s.awaitPhases(0, 1, 0)
+	s.is.Equal(s.Sweep(time.Now().Add(2*time.Second), Limits{Head: 3 * time.Second}), 0)
+	s.is.True(!c.isClosed(stayWait))
+	s.is.Equal(s.Sweep(time.Now().Add(4*time.Second), Limits{Head: 3 * time.Second}), 1)
+	c.awaitAnswer(http.StatusRequestTimeout)
+	s.is.True(c.isClosed(closeWait))
+	s.is.Equal(len(s.cutCauses()), 0)
 }
 
 // TestCutRequestsAreReported covers the report of a request that was read and not answered.
@@ -67,10 +276,17 @@
 	t.Parallel()
 	is := is.New(t)
 	var cuts []Cut
-	a := newAcceptor(t, func(c Cut) { cuts = append(cuts, c) })
-	receive := func(closeCaller bool) *Conn {
-		conn, caller := openPair(t, a)
-		_, err := caller.Write([]byte("GET / HTTP/1.1\r\n"))
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	a := New(l, func(c Cut) { cuts = append(cuts, c) })
+	defer func() { _ = a.Close() }()
+	receive := func(closeCaller bool) net.Conn {
+		caller, err := net.Dial("tcp", a.Addr().String())
+		is.NoErr(err)
+		t.Cleanup(func() { _ = caller.Close() })
+		conn, err := a.Accept()
+		is.NoErr(err)
+		_, err = io.WriteString(caller, request)
 		is.NoErr(err)
 		_, err = conn.Read(make([]byte, 100))
 		is.NoErr(err)
@@ -82,7 +298,7 @@
 		return conn
 	}
 	answered := receive(false)
-	_, err := answered.Write([]byte("HTTP/1.1 200 OK\r\n"))
+	_, err = io.WriteString(answered, "HTTP/1.1 200 OK\r\n")
 	is.NoErr(err)
 	is.NoErr(answered.Close())
 	is.Equal(len(cuts), 0)
@@ -90,6 +306,6 @@
 	is.NoErr(receive(true).Close())
 	is.Equal(len(cuts), 2)
 	is.Equal(cuts[0].Cause, CauseServer)
-	is.Equal(cuts[0].Bytes, len("GET / HTTP/1.1\r\n"))
+	is.Equal(cuts[0].Bytes, len(request))
 	is.Equal(cuts[1].Cause, CauseCaller)
 }
--- a/internal/acceptor/conn.go
+++ b/internal/acceptor/conn.go
@@ -1,22 +1,56 @@
 package acceptor
 
 import (
+	"errors"
+	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
+	"syscall"
 	"time"
 )
 
+// phase is how far the current request of a connection has got.
+type phase int
+
+const (
+	// phaseWaiting means that no byte of the next request has been read.
+	phaseWaiting phase = iota
+	// phaseReceiving means that bytes of a request have been read, and the HTTP server has
+	// not yet reported that it has its head.
+	phaseReceiving
+	// phaseActive means that the HTTP server has the head of a request and has not finished
+	// its response.
+	phaseActive
+)
+
+const (
+	// requestTimeout is the response to a request whose head has taken too long.
+	requestTimeout = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	// refusalTimeout limits how long its sending may take.
+	refusalTimeout = 100 * time.Millisecond
+)
+
+// pastDeadline makes reads fail at once.
+var pastDeadline = time.Unix(1, 0)
+
 // Conn is a caller's connection.
 type Conn struct {
 	net.Conn
 	acceptor *Acceptor
 
-	mu sync.Mutex
-	// state is the last state that the HTTP server reported.
-	state http.ConnState
-	// waitingSince is when the connection was accepted or became idle.
-	waitingSince time.Time
+	mu    sync.Mutex
+	phase phase
+	// phaseSince is when the phase began.
+	phaseSince time.Time
+	// isNew is set until the HTTP server has the head of the first request.
+	isNew bool
+	// deadline is the read deadline that the HTTP server has set last.
+	deadline time.Time
+	// expired is set while the read deadline is in the past because the connection has
+	// exceeded a limit. It is never set in phaseActive.
+	expired bool
 	// unanswered counts the bytes read since the last byte written. firstByteAt and
 	// lastByteAt are when the first and the last of them were read.
 	unanswered              int
@@ -24,30 +58,142 @@
 	// callerLeft is set when a read fails because the caller closed or reset the
 	// connection.
 	callerLeft bool
-	closed     bool
+	// timedOut is set when a read fails because the connection has exceeded a limit. Nothing
+	// is written to the connection after that.
+	timedOut bool
+	closed   bool
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. On a connection that has exceeded a limit it fails with
+// os.ErrDeadlineExceeded, but only if no byte is there to be read.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if n > 0 {
-		c.lastByteAt = time.Now()
-		if c.unanswered == 0 {
-			c.firstByteAt = c.lastByteAt
+	if c.expired && errors.Is(err, os.ErrDeadlineExceeded) {
+		if n = c.readAvailable(p); n > 0 {
+			err = nil
+		} else {
+			c.refuse()
 		}
-		c.unanswered += n
 	}
-	if err != nil && !isTimeout(err) && !c.closed {
+	if n > 0 {
+		c.recordRead(n)
+	}
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && !c.closed {
 		c.callerLeft = true
 	}
 	return n, err
 }
 
+// readAvailable reads what has arrived, without waiting; it returns 0 if nothing has. The
+// caller holds mu.
+func (c *Conn) readAvailable(p []byte) int {
+	conn, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	n := 0
+	// A raw connection cannot be read after its deadline.
+	_ = c.Conn.SetReadDeadline(time.Time{})
+	_ = raw.Read(func(fd uintptr) bool {
+		n, _ = syscall.Read(int(fd), p)
+		return true
+	})
+	_ = c.Conn.SetReadDeadline(pastDeadline)
+	return max(0, n)
+}
+
+// refuse answers a request whose head has taken too long, and makes Write discard the HTTP
+// server's own answer to it, which does not say that the request has not run. The caller
+// holds mu.
+func (c *Conn) refuse() {
+	c.timedOut = true
+	if c.phase != phaseReceiving {
+		return
+	}
+	_ = c.SetWriteDeadline(time.Now().Add(refusalTimeout))
+	if _, err := io.WriteString(c.Conn, requestTimeout); err == nil {
+		c.unanswered = 0
+	}
+}
+
+// recordRead records that bytes were read. The caller holds mu.
+func (c *Conn) recordRead(n int) {
+	c.lastByteAt = time.Now()
+	if c.unanswered == 0 {
+		c.firstByteAt = c.lastByteAt
+	}
+	c.unanswered += n
+	if c.phase == phaseWaiting {
+		c.setPhase(phaseReceiving, c.lastByteAt)
+	}
+	c.restoreDeadline()
+}
+
+// setPhase begins a phase. The caller holds mu.
+func (c *Conn) setPhase(next phase, now time.Time) {
+	c.phase, c.phaseSince = next, now
+}
+
+// restoreDeadline undoes expire. The caller holds mu.
+func (c *Conn) restoreDeadline() {
+	if c.expired {
+		c.expired = false
+		_ = c.Conn.SetReadDeadline(c.deadline)
+	}
+}
+
+// expire makes the pending read, or the next one, fail unless there is something to read,
+// if the connection exceeds a limit. It reports whether it does so now.
+//
+// The HTTP server's goroutine closes the connection after that read. A Close by any other
+// goroutine could not know what that one has just read.
+func (c *Conn) expire(now time.Time, limits Limits) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.expired || c.closed || c.phase == phaseActive || now.Sub(c.phaseSince) <= c.limit(limits) {
+		return false
+	}
+	c.expired = true
+	_ = c.Conn.SetReadDeadline(pastDeadline)
+	return true
+}
+
+// limit returns the limit for the current phase.
+func (c *Conn) limit(limits Limits) time.Duration {
+	switch {
+	case c.phase == phaseReceiving:
+		return limits.Head
+	case c.isNew:
+		return limits.New
+	default:
+		return limits.Idle
+	}
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *Conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadline = t
+	if c.expired {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
 // Write implements net.Conn.
 func (c *Conn) Write(p []byte) (int, error) {
 	c.mu.Lock()
+	if c.timedOut {
+		c.mu.Unlock()
+		return len(p), nil
+	}
 	c.unanswered = 0
 	c.mu.Unlock()
 	return c.Conn.Write(p)
@@ -62,56 +208,46 @@
 	return nil
 }
 
-// Close implements net.Conn.
-func (c *Conn) Close() error { return c.closeFor(CauseServer) }
-
-// closeFor closes the connection and reports the request that this cuts, if any.
-func (c *Conn) closeFor(cause Cause) error {
+// Close implements net.Conn. It reports the request that this cuts, if any.
+func (c *Conn) Close() error {
 	c.mu.Lock()
-	if c.callerLeft {
-		cause = CauseCaller
-	}
 	now := time.Now()
 	cut := Cut{
-		Remote: c.RemoteAddr().String(), Cause: cause, State: c.state, Bytes: c.unanswered,
+		Remote: c.RemoteAddr().String(), Cause: c.cause(), IsActive: c.phase == phaseActive, Bytes: c.unanswered,
 		SinceFirstByte: now.Sub(c.firstByteAt), SinceLastByte: now.Sub(c.lastByteAt),
 	}
 	isCut := !c.closed && c.unanswered > 0
 	c.closed = true
 	c.mu.Unlock()
-	c.acceptor.forget(c)
 	if isCut {
 		c.acceptor.onCut(cut)
 	}
+	defer c.acceptor.forget(c)
 	return c.Conn.Close()
 }
 
-func (c *Conn) setState(state http.ConnState) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.state = state
-	if state == http.StateIdle {
-		c.waitingSince = time.Now()
+func (c *Conn) cause() Cause {
+	switch {
+	case c.callerLeft:
+		return CauseCaller
+	case c.timedOut:
+		return CauseLimit
+	default:
+		return CauseServer
 	}
 }
 
-// isExpired reports whether the connection has waited for a request for longer than its
-// limit.
-func (c *Conn) isExpired(now time.Time, limits Limits) bool {
+// trackState records a state that the HTTP server reports.
+func (c *Conn) trackState(state http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	waited := now.Sub(c.waitingSince)
-	switch c.state {
-	case http.StateNew:
-		return waited > max(limits.Head, limits.Idle)
+	switch state {
+	case http.StateActive:
+		c.isNew = false
+		c.setPhase(phaseActive, time.Now())
+		c.restoreDeadline()
 	case http.StateIdle:
-		return waited > limits.Idle
-	default:
-		return false
+		c.setPhase(phaseWaiting, time.Now())
+	case http.StateNew, http.StateClosed, http.StateHijacked:
 	}
 }
-
-func isTimeout(err error) bool {
-	timeout, ok := err.(net.Error) //nolint:errorlint // the connection returns it unwrapped
-	return ok && timeout.Timeout()
-}
--- a/internal/stager/tier_connections_test.go
+++ b/internal/stager/tier_connections_test.go
@@ -276,7 +276,7 @@
 	defer func() { _ = response.Body.Close() }()
 	metrics, err := io.ReadAll(response.Body)
 	is.NoErr(err)
-	is.True(strings.Contains(string(metrics), "idleConnectionsClosedTotal")) // the limit took effect
+	is.True(strings.Contains(string(metrics), "expiredConnectionsTotal")) // the limit took effect
 	for line := range strings.Lines(string(metrics)) {
 		if strings.HasPrefix(line, "cutRequestsTotal") && !strings.Contains(line, string(acceptor.CauseCaller)) && !strings.HasSuffix(line, " 0\n") {
 			t.Error(line)
--- a/internal/supervisor/idle.go
+++ b/internal/supervisor/limits.go
@@ -16,21 +16,21 @@
 	// configuration, and if the configuration sets no limit.
 	defaultIdleTimeout   = time.Minute
 	defaultHeaderTimeout = 10 * time.Second
-	// idleSweepInterval is how often idle connections are checked. A connection is
-	// closed up to this long after its limit, never before it, so that a caller
-	// that keeps to the limit does not race with the close.
-	idleSweepInterval = time.Second
+	// connectionSweepInterval is how often the limits are checked. A connection ends up
+	// to this long after its limit, never before it, so that a caller that keeps to the
+	// limit does not race with the end.
+	connectionSweepInterval = time.Second
 )
 
-// connectionLimits returns the limits for callers' connections. A limit of zero or less
+// newConnectionLimits returns the limits for callers' connections. A limit of zero or less
 // means the default.
-func connectionLimits(limits planner.Limits) acceptor.Limits {
-	applied := acceptor.Limits{Head: limits.HeaderTimeout, Idle: limits.IdleTimeout}
-	if applied.Head <= 0 {
-		applied.Head = defaultHeaderTimeout
+func newConnectionLimits(declared planner.Limits) acceptor.Limits {
+	head, idle := declared.HeaderTimeout, declared.IdleTimeout
+	if head <= 0 {
+		head = defaultHeaderTimeout
 	}
-	if applied.Idle <= 0 {
-		applied.Idle = defaultIdleTimeout
+	if idle <= 0 {
+		idle = defaultIdleTimeout
 	}
-	return applied
+	return acceptor.Limits{New: max(head, idle), Idle: idle, Head: head}
 }
--- a/internal/supervisor/idle_test.go
+++ b/internal/supervisor/limits_test.go
@@ -14,6 +14,6 @@
 func TestConnectionLimitsDefault(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	is.Equal(connectionLimits(planner.Limits{}), acceptor.Limits{Head: defaultHeaderTimeout, Idle: defaultIdleTimeout})
-	is.Equal(connectionLimits(planner.Limits{HeaderTimeout: -1, IdleTimeout: time.Second}), acceptor.Limits{Head: defaultHeaderTimeout, Idle: time.Second})
+	is.Equal(newConnectionLimits(planner.Limits{}), acceptor.Limits{New: defaultIdleTimeout, Idle: defaultIdleTimeout, Head: defaultHeaderTimeout})
+	is.Equal(newConnectionLimits(planner.Limits{HeaderTimeout: -1, IdleTimeout: time.Second}), acceptor.Limits{New: defaultHeaderTimeout, Idle: time.Second, Head: defaultHeaderTimeout})
 }
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -153,7 +153,7 @@
 		Metrics:          responder.NewMetrics(s.metrics),
 		Rand:             newRand(),
 	})
-	s.scheduler.Every(idleSweepInterval, s.closeIdleConnections)
+	s.scheduler.Every(connectionSweepInterval, s.sweepConnections)
 	if err := s.listen(settings); err != nil {
 		return nil, err
 	}
@@ -190,22 +190,26 @@
 	return nil
 }
 
-// closeIdleConnections closes callers' connections that exceed the limits of the
-// current configuration.
-func (s *Supervisor) closeIdleConnections(now time.Time) {
-	var limits planner.Limits
-	if state := s.follower.State(); state.Ready() {
-		limits = state.Table.Configuration().Limits
-	}
-	applied := connectionLimits(limits)
-	closed := 0
+// sweepConnections ends callers' connections that exceed the limits of the current
+// configuration.
+func (s *Supervisor) sweepConnections(now time.Time) {
+	limits, expired := s.connectionLimits(), 0
 	for _, server := range s.servers() {
-		closed += server.conns.Sweep(now, applied)
+		expired += server.conns.Sweep(now, limits)
+	}
+	if expired > 0 {
+		s.metrics.GetOrCreateCounter("expiredConnectionsTotal").Add(expired)
+		klog.InfoS("connections exceeded a limit", "connections", expired, "idleTimeoutMillis", limits.Idle.Milliseconds(), "headerTimeoutMillis", limits.Head.Milliseconds())
 	}
-	if closed > 0 {
-		s.metrics.GetOrCreateCounter("idleConnectionsClosedTotal").Add(closed)
-		klog.InfoS("closed idle connections", "connections", closed, "idleTimeoutMillis", applied.Idle.Milliseconds(), "headerTimeoutMillis", applied.Head.Milliseconds())
+}
+
+// connectionLimits returns the limits of the current configuration.
+func (s *Supervisor) connectionLimits() acceptor.Limits {
+	state := s.follower.State()
+	if !state.Ready() {
+		return newConnectionLimits(planner.Limits{})
 	}
+	return newConnectionLimits(state.Table.Configuration().Limits)
 }
 
 // recordCut logs and counts a request that a closed connection leaves unanswered. A caller
@@ -215,7 +219,7 @@
 	if cut.Cause == acceptor.CauseCaller {
 		return
 	}
-	klog.InfoS("connection closed with a request unanswered", "cause", cut.Cause, "remote", cut.Remote, "state", cut.State.String(), "bytes", cut.Bytes,
+	klog.InfoS("connection closed with a request unanswered", "cause", cut.Cause, "remote", cut.Remote, "active", cut.IsActive, "bytes", cut.Bytes,
 		"sinceFirstByteMillis", cut.SinceFirstByte.Milliseconds(), "sinceLastByteMillis", cut.SinceLastByte.Milliseconds(), "stopping", s.stop.Load() != nil)
 }
 
