--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -1,14 +1,28 @@
 // Package acceptor accepts callers' connections for an HTTP server and ends them when they
-// exceed a limit. It never closes a connection from which a byte of a request has been read,
-// unless the rest takes too long. It reports the requests that a closed connection leaves
-// unanswered.
+// exceed a limit or when the server stops. It never closes a connection from which a byte
+// of a request has been read, unless the rest takes too long. It reports the requests that a
+// closed connection leaves unanswered.
+//
+// net/http does this differently: Shutdown closes connections that it takes for idle while
+// their request is being read, and discards requests that are read after it was called.
 package acceptor
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/fuchsiastile/fuchsiastile/internal/scheduler"
+)
+
+const (
+	// firstRequestWait is how long a new connection may wait for its first request while
+	// the acceptor drains: its caller has only just been sent here.
+	firstRequestWait = 500 * time.Millisecond
+	// drainInterval is how often Drain applies its limits.
+	drainInterval = 10 * time.Millisecond
 )
 
 // Cause is why a connection was closed.
@@ -55,6 +69,10 @@
 	mu sync.Mutex
 	// conns holds the open connections.
 	conns map[*Conn]struct{}
+	// accepting is the number of calls of Accept in progress.
+	accepting int
+	// stopped is set once the listener has been closed.
+	stopped bool
 }
 
 // New returns an Acceptor that accepts connections from listener. It calls onCut for every
@@ -66,21 +84,34 @@
 // Addr implements net.Listener.
 func (a *Acceptor) Addr() net.Addr { return a.listener.Addr() }
 
-// Accept implements net.Listener. Its connections are of type *Conn.
+// Accept implements net.Listener. Its connections are of type *Conn. After Close it fails
+// with http.ErrServerClosed.
 func (a *Acceptor) Accept() (net.Conn, error) {
+	a.mu.Lock()
+	a.accepting++
+	a.mu.Unlock()
 	accepted, err := a.listener.Accept()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.accepting--
 	if err != nil {
+		if a.stopped {
+			return nil, http.ErrServerClosed
+		}
 		return nil, err
 	}
 	c := &Conn{Conn: accepted, acceptor: a, isNew: true, phaseSince: time.Now()}
-	a.mu.Lock()
-	defer a.mu.Unlock()
 	a.conns[c] = struct{}{}
 	return c, nil
 }
 
 // Close implements net.Listener. It leaves the accepted connections open.
-func (a *Acceptor) Close() error { return a.listener.Close() }
+func (a *Acceptor) Close() error {
+	a.mu.Lock()
+	a.stopped = true
+	a.mu.Unlock()
+	return a.listener.Close()
+}
 
 // TrackState records the state of one of the acceptor's connections; it is an
 // http.Server's ConnState hook.
@@ -102,6 +133,33 @@
 	return expired
 }
 
+// Drain closes the listener and waits until all connections are closed. Until answerBy every
+// request that has begun to arrive is served; later ones are not read any more. Responses
+// must ask the callers to close their connections. If ctx ends first, Drain returns its error
+// and leaves the remaining connections open.
+func (a *Acceptor) Drain(ctx context.Context, head time.Duration, answerBy time.Time) error {
+	_ = a.Close()
+	for !a.isDrained() {
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		now := time.Now()
+		limits := Limits{New: firstRequestWait, Head: head}
+		if !now.Before(answerBy) {
+			limits = Limits{}
+		}
+		a.Sweep(now, limits)
+		scheduler.Sleep(ctx, drainInterval)
+	}
+	return nil
+}
+
+func (a *Acceptor) isDrained() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.accepting == 0 && len(a.conns) == 0
+}
+
 func (a *Acceptor) openConns() []*Conn {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/acceptor/acceptor_test.go
+++ b/internal/acceptor/acceptor_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"io"
 	"maps"
@@ -271,6 +272,60 @@
 	s.is.Equal(len(s.cutCauses()), 0)
 }
 
+// drain starts Drain and returns a channel for its result.
+func (s *served) drain(head, answerWithin time.Duration) <-chan error {
+	drained := make(chan error, 1)
+	ctx, cancel := context.WithTimeout(context.Background(), answerWithin+time.Second)
+	go func() {
+		defer cancel()
+		drained <- s.Drain(ctx, head, time.Now().Add(answerWithin))
+	}()
+	return drained
+}
+
+// TestDrainAnswersRequests guards against discarding requests that arrive while a server
+// stops: on new connections, on idle ones, and in parts.
+func TestDrainAnswersRequests(t *testing.T) {
+	t.Parallel()
+	s := serve(t, true)
+	is := s.is
+	late, unused, split, active := s.dial(), s.dial(), s.dial(), s.dial()
+	split.send(request[:20])
+	active.send("GET /wait HTTP/1.1\r\nHost: tier.example\r\n\r\n")
+	s.awaitPhases(2, 1, 1)
+	drained := s.drain(3*time.Second, 5*time.Second)
+	time.Sleep(200 * time.Millisecond)
+	late.send(request)
+	late.awaitAnswer(http.StatusOK)
+	is.True(unused.isClosed(closeWait))
+	split.send(request[20:])
+	split.awaitAnswer(http.StatusOK)
+	close(s.release)
+	active.awaitAnswer(http.StatusOK)
+	is.NoErr(<-drained)
+	_, err := net.Dial("tcp", s.Addr().String())
+	is.True(err != nil)
+	is.Equal(len(s.cutCauses()), 0)
+}
+
+// TestDrainClosesIdleConnections guards against waiting for callers that send nothing, or no
+// whole head.
+func TestDrainClosesIdleConnections(t *testing.T) {
+	t.Parallel()
+	s := serve(t, false)
+	idle, split := s.dial(), s.dial()
+	idle.send(request)
+	idle.awaitAnswer(http.StatusOK)
+	split.send(request[:20])
+	s.awaitPhases(1, 1, 0)
+	started := time.Now()
+	drained := s.drain(time.Minute, 2*time.Second)
+	s.is.True(idle.isClosed(closeWait))
+	s.is.True(time.Since(started) < 2*time.Second)
+	split.awaitAnswer(http.StatusRequestTimeout)
+	s.is.NoErr(<-drained)
+}
+
 // TestCutRequestsAreReported covers the report of a request that was read and not answered.
 func TestCutRequestsAreReported(t *testing.T) {
 	t.Parallel()
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -325,8 +325,8 @@
 
 // awaitStop waits for Stop or Kill. After Stop it stops the daemon gracefully: the
 // daemon, which already reports not ready, keeps serving until the load balancer has
-// removed it, then accepts no more connections and waits for the requests in flight. At
-// the end of the grace period these end with whatever answer they have.
+// removed it, then accepts no more connections and drains the open ones. At the end of the
+// grace period the requests in flight end with whatever answer they have.
 func (s *Supervisor) awaitStop(ctx context.Context) error {
 	select {
 	case <-s.stopRequested:
@@ -342,7 +342,7 @@
 	scheduler.Sleep(ctx, time.Until(stop.AcceptUntil))
 	shutdownCtx, cancel := context.WithDeadline(ctx, stop.AnswerBy.Add(answerTime))
 	defer cancel()
-	if err := s.callerServer.Shutdown(shutdownCtx); err != nil {
+	if err := s.callerServer.conns.Drain(shutdownCtx, s.connectionLimits().Head, stop.AnswerBy); err != nil {
 		klog.InfoS("requests still in flight when the stop grace period ended", "cause", err.Error(), "afterMillis", time.Since(stopStart).Milliseconds())
 		return nil
 	}
