--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -1,7 +1,8 @@
 // Package acceptor accepts callers' connections for an HTTP server and ends them when they
-// exceed a limit or when the server stops. It never closes a connection from which a byte
-// of a request has been read, unless the rest takes too long. It reports the requests that a
-// closed connection leaves unanswered.
+// exceed a limit or when the server stops. A request that has begun to arrive is served, or
+// refused if the rest of its head takes too long; only of one that was read together with the
+// request before, up to three bytes may go unnoticed. It reports the requests that a closed
+// connection leaves unanswered.
 //
 // net/http does this differently: Shutdown closes connections that it takes for idle while
 // their request is being read, and discards requests that are read after it was called.
--- a/internal/acceptor/acceptor_test.go
+++ b/internal/acceptor/acceptor_test.go
@@ -4,11 +4,13 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"maps"
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -25,6 +27,8 @@
 	mu sync.Mutex
 	// cuts holds the reports of cut requests.
 	cuts []Cut
+	// ran holds the paths of the requests that were handled.
+	ran map[string]bool
 	// release ends the handlers of requests to /wait.
 	release chan struct{}
 }
@@ -33,11 +37,14 @@
 // connections if closeAfter is set.
 func serve(t *testing.T, closeAfter bool) *served {
 	t.Helper()
-	s := &served{is: is.New(t), release: make(chan struct{})}
+	s := &served{is: is.New(t), release: make(chan struct{}), ran: map[string]bool{}}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	s.is.NoErr(err)
 	s.Acceptor = New(l, s.recordCut)
-	server := &http.Server{ReadHeaderTimeout: time.Minute, ConnState: s.TrackState, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	server := &http.Server{ReadHeaderTimeout: time.Minute, IdleTimeout: time.Minute, ConnState: s.TrackState, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		s.ran[r.URL.Path] = true
+		s.mu.Unlock()
 		if r.URL.Path == "/wait" {
 			<-s.release
 		}
@@ -60,6 +67,29 @@
 	s.cuts = append(s.cuts, c)
 }
 
+func (s *served) hasRun(path string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ran[path]
+}
+
+// accept returns a connection that no HTTP server reads, and its caller's end.
+func (s *served) accept(t *testing.T) (*Conn, net.Conn) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	s.is.NoErr(err)
+	a := New(l, s.recordCut)
+	caller, err := net.Dial("tcp", a.Addr().String())
+	s.is.NoErr(err)
+	conn, err := a.Accept()
+	s.is.NoErr(err)
+	t.Cleanup(func() {
+		_ = caller.Close()
+		_ = a.Close()
+	})
+	return conn.(*Conn), caller
+}
+
 // cutCauses returns the causes of the cut requests.
 func (s *served) cutCauses() []Cause {
 	s.mu.Lock()
@@ -117,6 +147,7 @@
 
 // awaitPhases waits until so many connections are in each phase.
 func (s *served) awaitPhases(waiting, receiving, active int) {
+	deadline := time.Now().Add(closeWait)
 	want := map[phase]int{phaseWaiting: waiting, phaseReceiving: receiving, phaseActive: active}
 	for {
 		got := map[phase]int{phaseWaiting: 0, phaseReceiving: 0, phaseActive: 0}
@@ -128,6 +159,10 @@
 		if maps.Equal(got, want) {
 			return
 		}
+		if time.Now().After(deadline) {
+			s.is.Equal(got, want)
+			return
+		}
 		time.Sleep(time.Millisecond)
 	}
 }
@@ -220,41 +255,119 @@
 	is.True(time.Since(started) >= 50*time.Millisecond)
 }
 
-// TestSweepRacesWithRequests guards against cut requests while sweeps run at the moments at
-// which requests arrive: a request is answered, or its connection is closed unread.
+// TestSweepRacesWithRequests guards against requests that run without an answer, or although
+// they were refused, because a limit ends at the moment at which they arrive.
 func TestSweepRacesWithRequests(t *testing.T) {
 	t.Parallel()
 	s := serve(t, false)
 	stop := make(chan struct{})
-	var sweeps sync.WaitGroup
+	var sweeps, callers sync.WaitGroup
 	sweeps.Go(func() {
 		for {
 			select {
 			case <-stop:
 				return
-			default:
-				s.Sweep(time.Now().Add(time.Second), Limits{Head: time.Minute})
+			case <-time.After(time.Millisecond):
+				s.Sweep(time.Now().Add(time.Second), Limits{})
 			}
 		}
 	})
-	var callers sync.WaitGroup
-	for range 8 {
+	for n := range 16 {
 		callers.Go(func() {
-			for range 200 {
+			for k := range 100 {
+				path := fmt.Sprintf("/%d/%d", n, k)
+				text := strings.Replace(request, "/", path, 1)
+				split := (n*100 + k) % len(text)
 				conn, err := net.Dial("tcp", s.Addr().String())
-				s.is.NoErr(err)
-				_, _ = io.WriteString(conn, request)
-				_, _ = io.Copy(io.Discard, conn)
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				_, _ = io.WriteString(conn, text[:split])
+				time.Sleep(time.Duration(k%20) * 100 * time.Microsecond)
+				_, _ = io.WriteString(conn, text[split:])
+				response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+				isAnswered := err == nil && response.StatusCode == http.StatusOK
 				_ = conn.Close()
+				if s.hasRun(path) && !isAnswered {
+					t.Errorf("%s ran, split at %d, answer %v, %v", path, split, response, err)
+				}
 			}
 		})
 	}
 	callers.Wait()
 	close(stop)
 	sweeps.Wait()
-	for _, cause := range s.cutCauses() {
-		s.is.Equal(cause, CauseCaller)
+}
+
+// TestRefusedRequestsAreRefusedOnce guards against answers after the refusal of a slow head,
+// and against running the request if the rest of its head comes after that.
+func TestRefusedRequestsAreRefusedOnce(t *testing.T) {
+	t.Parallel()
+	s := serve(t, false)
+	for split := 1; split < len(request); split++ {
+		c := s.dial()
+		c.send(request[:split])
+		s.awaitPhases(0, 1, 0)
+		s.is.Equal(s.Sweep(time.Now().Add(time.Second), Limits{}), 1)
+		s.is.NoErr(c.SetReadDeadline(time.Now().Add(closeWait)))
+		answer, err := io.ReadAll(c.reader)
+		s.is.NoErr(err)
+		s.is.Equal(string(answer), requestTimeout)
+		s.awaitPhases(0, 0, 0)
 	}
+	conn, caller := s.accept(t)
+	_, err := io.WriteString(caller, request[:20])
+	s.is.NoErr(err)
+	buffer := make([]byte, 100)
+	_, err = conn.Read(buffer)
+	s.is.NoErr(err)
+	s.is.Equal(conn.acceptor.Sweep(time.Now().Add(time.Second), Limits{}), 1)
+	_, err = conn.Read(buffer)
+	s.is.True(errors.Is(err, os.ErrDeadlineExceeded))
+	_, err = io.WriteString(caller, request[20:])
+	s.is.NoErr(err)
+	time.Sleep(50 * time.Millisecond)
+	n, err := conn.Read(buffer)
+	s.is.True(errors.Is(err, os.ErrDeadlineExceeded))
+	s.is.Equal(n, 0)
+}
+
+// TestExpiredHeadThatIsWholeIsServed guards against failing the reads of a request whose
+// head was whole when its limit ended, which net/http takes for a caller that left.
+func TestExpiredHeadThatIsWholeIsServed(t *testing.T) {
+	t.Parallel()
+	s := serve(t, false)
+	conn, caller := s.accept(t)
+	_, err := io.WriteString(caller, request)
+	s.is.NoErr(err)
+	_, err = conn.Read(make([]byte, 1000))
+	s.is.NoErr(err)
+	s.is.Equal(conn.acceptor.Sweep(time.Now().Add(time.Second), Limits{}), 1)
+	conn.acceptor.TrackState(conn, http.StateActive)
+	s.is.NoErr(conn.SetReadDeadline(time.Now().Add(50 * time.Millisecond)))
+	started := time.Now()
+	_, err = conn.Read(make([]byte, 1)) // as the HTTP server does while a handler runs
+	s.is.True(errors.Is(err, os.ErrDeadlineExceeded))
+	s.is.True(time.Since(started) >= 50*time.Millisecond)
+}
+
+// TestLineEndsBetweenRequestsAreNoRequest guards against refusing a request of which nothing
+// but the line end that some callers send after a body has come.
+func TestLineEndsBetweenRequestsAreNoRequest(t *testing.T) {
+	t.Parallel()
+	s := serve(t, false)
+	c := s.dial()
+	c.send(request)
+	c.awaitAnswer(http.StatusOK)
+	s.awaitPhases(1, 0, 0)
+	c.send("\r\n")
+	time.Sleep(50 * time.Millisecond)
+	s.awaitPhases(1, 0, 0)
+	s.is.Equal(s.Sweep(time.Now().Add(time.Second), Limits{}), 1)
+	answer, err := io.ReadAll(c.reader)
+	s.is.NoErr(err)
+	s.is.Equal(len(answer), 0)
 }
 
 // TestSlowHeadsAreRefused covers the limit for heads that do not arrive whole.
@@ -326,6 +439,29 @@
 	s.is.NoErr(<-drained)
 }
 
+// TestRequestsReadAheadAreServed guards against closing a connection as idle though the
+// beginning of its next request was read together with the one before.
+func TestRequestsReadAheadAreServed(t *testing.T) {
+	t.Parallel()
+	s := serve(t, false)
+	swept, drained := s.dial(), s.dial()
+	for _, c := range []*client{swept, drained} {
+		c.send(request + request[:20])
+		c.awaitAnswer(http.StatusOK)
+	}
+	s.awaitPhases(0, 2, 0)
+	s.is.Equal(s.Sweep(time.Now().Add(time.Second), Limits{Head: time.Minute}), 0)
+	swept.send(request[20:])
+	swept.awaitAnswer(http.StatusOK)
+	done := s.drain(time.Minute, 5*time.Second)
+	s.is.True(swept.isClosed(closeWait))
+	s.is.True(!drained.isClosed(stayWait))
+	drained.send(request[20:])
+	drained.awaitAnswer(http.StatusOK)
+	s.is.NoErr(<-done)
+	s.is.Equal(len(s.cutCauses()), 0)
+}
+
 // TestCutRequestsAreReported covers the report of a request that was read and not answered.
 func TestCutRequestsAreReported(t *testing.T) {
 	t.Parallel()
--- a/internal/acceptor/conn.go
+++ b/internal/acceptor/conn.go
@@ -1,6 +1,7 @@
 package acceptor
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"net"
@@ -48,11 +49,15 @@
 	isNew bool
 	// deadline is the read deadline that the HTTP server has set last.
 	deadline time.Time
+	// isAwaited is set once the HTTP server has begun to wait for the next request. It is
+	// used in phaseWaiting only, and not while isNew is set.
+	isAwaited bool
 	// expired is set while the read deadline is in the past because the connection has
 	// exceeded a limit. It is never set in phaseActive.
 	expired bool
-	// unanswered counts the bytes read since the last byte written. firstByteAt and
-	// lastByteAt are when the first and the last of them were read.
+	// unanswered counts the bytes read since the last byte written; it is 1 if they were all
+	// read before that. firstByteAt and lastByteAt are when the first and the last of them
+	// were read.
 	unanswered              int
 	firstByteAt, lastByteAt time.Time
 	// callerLeft is set when a read fails because the caller closed or reset the
@@ -70,6 +75,10 @@
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.timedOut {
+		// net/http reads on after some errors within a head.
+		return 0, os.ErrDeadlineExceeded
+	}
 	if c.expired && errors.Is(err, os.ErrDeadlineExceeded) {
 		if n = c.readAvailable(p); n > 0 {
 			err = nil
@@ -78,7 +87,7 @@
 		}
 	}
 	if n > 0 {
-		c.recordRead(n)
+		c.recordRead(p[:n])
 	}
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && !c.closed {
 		c.callerLeft = true
@@ -122,17 +131,21 @@
 	}
 }
 
-// recordRead records that bytes were read. The caller holds mu.
-func (c *Conn) recordRead(n int) {
+// recordRead records that bytes were read. Line ends between requests are no part of one.
+// The caller holds mu.
+func (c *Conn) recordRead(read []byte) {
+	c.restoreDeadline()
+	if c.phase == phaseWaiting && len(bytes.Trim(read, "\r\n")) == 0 {
+		return
+	}
 	c.lastByteAt = time.Now()
 	if c.unanswered == 0 {
 		c.firstByteAt = c.lastByteAt
 	}
-	c.unanswered += n
+	c.unanswered += len(read)
 	if c.phase == phaseWaiting {
 		c.setPhase(phaseReceiving, c.lastByteAt)
 	}
-	c.restoreDeadline()
 }
 
 // setPhase begins a phase. The caller holds mu.
@@ -180,6 +193,17 @@
 func (c *Conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.phase == phaseWaiting && !c.isNew {
+		// The HTTP server sets a deadline when it begins to wait for a request, and another
+		// when it has the first bytes, which it may have read together with the request
+		// before.
+		if c.isAwaited {
+			c.setPhase(phaseReceiving, time.Now())
+			c.unanswered = max(1, c.unanswered)
+			c.expired = false
+		}
+		c.isAwaited = true
+	}
 	c.deadline = t
 	if c.expired {
 		return nil
@@ -247,6 +271,7 @@
 		c.setPhase(phaseActive, time.Now())
 		c.restoreDeadline()
 	case http.StateIdle:
+		c.isAwaited = false
 		c.setPhase(phaseWaiting, time.Now())
 	case http.StateNew, http.StateClosed, http.StateHijacked:
 	}
