--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -101,11 +101,11 @@
 		return
 	}
 	d.metrics.recordRequest(request.Class, request.Tenant, answer.Outcome, time.Since(started), answer.Coverage.Fraction)
-	writeAnswer(w, answer)
+	d.writeAnswer(w, answer)
 }
 
 // writeAnswer writes an answer with the HTTP status of its outcome.
-func writeAnswer(w http.ResponseWriter, answer caller.Answer) {
+func (d *Daemon) writeAnswer(w http.ResponseWriter, answer caller.Answer) {
 	status := http.StatusOK
 	switch answer.Outcome {
 	case caller.OutcomeNotRun:
@@ -116,7 +116,16 @@
 	case caller.OutcomeAnswered:
 	}
 	w.Header().Set(caller.HeaderRequest, answer.RequestID)
-	writeJSON(w, status, "application/json", answer)
+	d.respond(w, status, "application/json", answer)
+}
+
+// respond writes a response to a caller. While the daemon stops it asks the caller to close
+// the connection.
+func (d *Daemon) respond(w http.ResponseWriter, status int, contentType string, v any) {
+	if d.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	writeJSON(w, status, contentType, v)
 }
 
 func writeJSON(w http.ResponseWriter, status int, contentType string, v any) {
@@ -159,7 +168,7 @@
 		w.Header().Set("Retry-After", strconv.Itoa(retryAfterSeconds))
 	}
 	w.Header().Set(caller.HeaderRequest, id)
-	writeJSON(w, status, "application/problem+json", problem)
+	d.respond(w, status, "application/problem+json", problem)
 }
 
 // httpStatusOf maps an error to an HTTP status and the title of the problem document.
@@ -200,5 +209,5 @@
 		d.rejectRequest(w, d.newRequestID(), caller.Request{Class: r.Header.Get(caller.HeaderClass)}, time.Now(), err)
 		return
 	}
-	writeJSON(w, http.StatusOK, "application/json", caller.TicketResponse{Ticket: ticket})
+	d.respond(w, http.StatusOK, "application/json", caller.TicketResponse{Ticket: ticket})
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -23,6 +23,7 @@
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
+	"github.com/fuchsiastile/fuchsiastile/internal/acceptor"
 	"github.com/fuchsiastile/fuchsiastile/internal/admitter"
 	"github.com/fuchsiastile/fuchsiastile/internal/dialer"
 	"github.com/fuchsiastile/fuchsiastile/internal/failer"
@@ -58,8 +59,12 @@
 // Error is the error type of this package.
 type Error = failer.Error[Kind]
 
-// secretBytes is the length of the key that signs tickets.
-const secretBytes = 32
+const (
+	// secretBytes is the length of the key that signs tickets.
+	secretBytes = 32
+	// headerTimeout bounds the time in which the head of a request arrives.
+	headerTimeout = 5 * time.Second
+)
 
 // Daemon is one process of the query tier.
 type Daemon struct {
@@ -105,10 +110,12 @@
 	foreignOnce sync.Once
 	// leaving is closed to notify peers that they must send no further requests
 	// through this gateway.
-	leaving   chan struct{}
-	callers   *http.Server
-	operators *http.Server
-	listeners listeners
+	leaving chan struct{}
+	callers *http.Server
+	// callerConns is the listener of callers.
+	callerConns *acceptor.Acceptor
+	operators   *http.Server
+	listeners   listeners
 	// forwardTo is the address of the successor that confirmed the hand-over of
 	// the tickets, or empty if none did.
 	forwardTo atomic.Pointer[string]
@@ -185,8 +192,9 @@
 	d.documents = d.newRelayer(network)
 	d.attempts.Store(newRand().Uint64())
 	d.members = d.newGossiper()
-	d.callers = &http.Server{Handler: d.callersHandler(), ReadHeaderTimeout: 5 * time.Second}
-	d.operators = &http.Server{Handler: d.operatorsHandler(), ReadHeaderTimeout: 5 * time.Second}
+	d.callerConns = acceptor.New(l.callers, func(cut acceptor.Cut) { cut.Record(d.metrics.set, d.stopping.Load()) })
+	d.callers = &http.Server{Handler: d.callersHandler(), ReadHeaderTimeout: headerTimeout, ConnState: d.callerConns.TrackState}
+	d.operators = &http.Server{Handler: d.operatorsHandler(), ReadHeaderTimeout: headerTimeout}
 	d.addSeeds(settings.Seeds)
 	return d, nil
 }
@@ -296,7 +304,7 @@
 	}
 	server := drpcserver.New(mux)
 	add(func(context.Context) error { return d.scheduler.Run() }, d.scheduler.Close)
-	add(func(ctx context.Context) error { return serve(ctx, d.callers, d.listeners.callers) }, func() { _ = d.callers.Close() })
+	add(func(ctx context.Context) error { return serve(ctx, d.callers, d.callerConns) }, func() { _ = d.callers.Close() })
 	add(func(ctx context.Context) error { return serve(ctx, d.operators, d.listeners.operators) }, func() { _ = d.operators.Close() })
 	add(func(ctx context.Context) error { return server.Serve(ctx, d.listeners.peers) }, func() { _ = d.listeners.peers.Close() })
 	add(func(context.Context) error { return d.members.Run() }, func() { _ = d.listeners.packets.Close() })
--- a/internal/daemon/once.go
+++ b/internal/daemon/once.go
@@ -46,7 +46,7 @@
 	answer := answerFromReply(request, id, reply)
 	answer.ElapsedMillis = float64(time.Since(started).Microseconds()) / 1000
 	d.metrics.recordRequest(class.Name, request.Tenant, answer.Outcome, time.Since(started), answer.Coverage.Fraction)
-	writeAnswer(w, answer)
+	d.writeAnswer(w, answer)
 }
 
 func answerFromReply(request caller.Request, id string, reply *messenger.OnceReply) caller.Answer {
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -77,7 +77,7 @@
 // handleReady reports to the load balancer whether this daemon accepts callers.
 func (d *Daemon) handleReady(w http.ResponseWriter, _ *http.Request) {
 	if reasons := d.notReady(); len(reasons) > 0 {
-		writeJSON(w, http.StatusServiceUnavailable, "application/json", reasons)
+		d.respond(w, http.StatusServiceUnavailable, "application/json", reasons)
 		return
 	}
 	_, _ = w.Write([]byte("ready\n"))
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -60,8 +60,8 @@
 	d.scheduler.At(answerBy, func(time.Time) { close(d.expired) })
 	successor := d.handOver(finish)
 	d.announceLeave(successor)
-	// Shutdown refuses new connections and waits for callers' requests in progress.
-	callersErr := d.callers.Shutdown(finish)
+	// Drain refuses new connections and waits for callers' requests that have begun.
+	callersErr := d.callerConns.Drain(finish, headerTimeout, answerBy)
 	awaitIdle(finish, d.onceActive.Load)
 	d.sendLateOutcomes(finish, successor)
 	d.announceLeave(successor)
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -183,7 +183,7 @@
 			s.closeListeners()
 			return failer.Wrap("listen on "+endpoint.address, KindListen, err)
 		}
-		conns := acceptor.New(l, s.recordCut)
+		conns := acceptor.New(l, func(cut acceptor.Cut) { cut.Record(s.metrics, s.stop.Load() != nil) })
 		httpServer := &http.Server{Handler: endpoint.handler, ReadHeaderTimeout: maxServerTimeout, IdleTimeout: maxServerTimeout, ConnState: conns.TrackState}
 		*endpoint.server = boundServer{Server: httpServer, conns: conns}
 	}
@@ -212,17 +212,6 @@
 	return newConnectionLimits(state.Table.Configuration().Limits)
 }
 
-// recordCut logs and counts a request that a closed connection leaves unanswered. A caller
-// that leaves is not logged.
-func (s *Supervisor) recordCut(cut acceptor.Cut) {
-	s.metrics.GetOrCreateCounter(fmt.Sprintf(`cutRequestsTotal{cause=%q}`, cut.Cause)).Inc()
-	if cut.Cause == acceptor.CauseCaller {
-		return
-	}
-	klog.InfoS("connection closed with a request unanswered", "cause", cut.Cause, "remote", cut.Remote, "active", cut.IsActive, "bytes", cut.Bytes,
-		"sinceFirstByteMillis", cut.SinceFirstByte.Milliseconds(), "sinceLastByteMillis", cut.SinceLastByte.Milliseconds(), "stopping", s.stop.Load() != nil)
-}
-
 // servers returns the servers that have an address to listen on.
 func (s *Supervisor) servers() []boundServer {
 	var bound []boundServer
