--- a/internal/soaker/callers.go
+++ b/internal/soaker/callers.go
@@ -47,16 +47,25 @@
 	s.mu.Lock()
 	daemon := p.TierDaemon
 	s.mu.Unlock()
-	id, method := s.nextRequestID(), http.MethodGet
-	if path == stager.AtMostOncePath {
-		method = http.MethodPost
-	}
+	id, method := s.nextRequestID(), methodOf(path)
 	callCtx, cancel := context.WithTimeout(ctx, callerTimeout)
 	reply, err := s.tier.Send(callCtx, daemon, method, path+"x", id, callerTimeout, nil)
 	cancel()
 	if ctx.Err() != nil {
 		return
 	}
+	s.recordReply(id, path, reply, err)
+}
+
+func methodOf(path string) string {
+	if path == stager.AtMostOncePath {
+		return http.MethodPost
+	}
+	return http.MethodGet
+}
+
+// recordReply counts the outcome of a request and checks its reply.
+func (s *Soak) recordReply(id, path string, reply stager.Reply, err error) {
 	s.recordOutcome(id, path, reply, err)
 	if err != nil {
 		return
--- a/internal/soaker/faults.go
+++ b/internal/soaker/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"syscall"
 	"time"
@@ -15,7 +16,11 @@
 
 // randomDuration returns a random duration in [low, high).
 func (s *Soak) randomDuration(low, high time.Duration) time.Duration {
-	return low + time.Duration(s.rng.Int64N(int64(high-low)))
+	return randomDuration(s.rng, low, high)
+}
+
+func randomDuration(rng *rand.Rand, low, high time.Duration) time.Duration {
+	return low + time.Duration(rng.Int64N(int64(high-low)))
 }
 
 // injectFaults starts random faults, which may overlap, for faultPhase and waits until
@@ -23,6 +28,7 @@
 // that the seed determines them.
 func (s *Soak) injectFaults(ctx context.Context) {
 	var wait sync.WaitGroup
+	wait.Go(s.stopBesideChanges())
 	for end := time.Now().Add(faultPhase); time.Now().Before(end) && ctx.Err() == nil; {
 		startFault := pick(s, s.killProcess, s.killProcess, s.suspendProcess, s.terminateProcess, s.faultStoreConnections, s.faultStore, s.restoreStore, s.faultSearcherConnections, s.faultSearcher, s.faultSearcher, s.limitSearcher)
 		runFault := startFault()
@@ -45,6 +51,7 @@
 		}
 		defer p.release()
 		s.logf("process %d: killing it, restart after %v", p.index, pause)
+		s.faultsOf(p).recordKill()
 		s.signal(p, syscall.SIGKILL)
 		s.restartProcess(p, pause)
 	}
@@ -54,21 +61,56 @@
 // connections until it exits.
 func (s *Soak) terminateProcess() func() {
 	p := pick(s, s.processes...)
+	return func() { s.stopProcess(p) }
+}
+
+func (s *Soak) stopProcess(p *process) {
+	if !p.tryClaim() {
+		return
+	}
+	defer p.release()
+	s.logf("process %d: sending SIGTERM", p.index)
+	sent := time.Now()
+	s.signal(p, syscall.SIGTERM)
+	s.restartProcess(p, 100*time.Millisecond)
+	if elapsed := time.Since(sent); elapsed > stopTimeout {
+		s.reportViolation("process %d: took %v to stop and restart", p.index, elapsed)
+	}
+}
+
+// stopBesideChanges sends SIGTERM to two processes, one shortly after the other, while the
+// configuration changes several times.
+func (s *Soak) stopBesideChanges() func() {
+	first := s.changeRng.IntN(len(s.processes))
+	second := (first + 1 + s.changeRng.IntN(len(s.processes)-1)) % len(s.processes)
+	begin, between := randomDuration(s.changeRng, 0, 2*time.Second), randomDuration(s.changeRng, 0, 2*time.Second)
+	type change struct{ pause, idleTimeout time.Duration }
+	changes := make([]change, 3+s.changeRng.IntN(4))
+	for n := range changes {
+		changes[n] = change{randomDuration(s.changeRng, 50*time.Millisecond, 1500*time.Millisecond), s.randomIdleTimeout()}
+	}
 	return func() {
-		if !p.tryClaim() {
-			return
-		}
-		defer p.release()
-		s.logf("process %d: sending SIGTERM", p.index)
-		sent := time.Now()
-		s.signal(p, syscall.SIGTERM)
-		s.restartProcess(p, 100*time.Millisecond)
-		if elapsed := time.Since(sent); elapsed > stopTimeout {
-			s.reportViolation("process %d: took %v to stop and restart", p.index, elapsed)
+		var wait sync.WaitGroup
+		time.Sleep(begin)
+		wait.Go(func() { s.stopProcess(s.processes[first]) })
+		wait.Go(func() {
+			time.Sleep(between)
+			s.stopProcess(s.processes[second])
+		})
+		for _, c := range changes {
+			time.Sleep(c.pause)
+			s.applyNext("", c.idleTimeout)
 		}
+		wait.Wait()
 	}
 }
 
+// randomIdleTimeout returns an idle limit for the next configuration.
+func (s *Soak) randomIdleTimeout() time.Duration {
+	limits := []time.Duration{time.Second, 2 * time.Second, 4 * time.Second, 15 * time.Second}
+	return limits[s.changeRng.IntN(len(limits))]
+}
+
 // stopTimeout is the shutdown time that the settings grant a process plus an allowance
 // for the pause before its restart.
 const stopTimeout = 6*time.Second + 200*time.Millisecond
@@ -82,9 +124,11 @@
 		}
 		defer p.release()
 		s.logf("process %d: suspending it for %v", p.index, duration)
+		s.faultsOf(p).recordSuspension()
 		s.signal(p, syscall.SIGSTOP)
 		time.Sleep(duration)
 		s.signal(p, syscall.SIGCONT)
+		s.faultsOf(p).recordResumption()
 	}
 }
 
@@ -173,13 +217,14 @@
 // change and writes again what was lost.
 func (s *Soak) restoreStore() func() {
 	lost, away, rewrite := s.randomDuration(300*time.Millisecond, 3*time.Second), s.randomDuration(50*time.Millisecond, 2*time.Second), s.randomDuration(0, rewriteTime)
+	idleTimeout := s.randomIdleTimeout()
 	return func() {
 		if !s.restoring.CompareAndSwap(false, true) {
 			return
 		}
 		defer s.restoring.Store(false)
 		c := s.tier.Store.Copy()
-		s.applyNext("")
+		s.applyNext("", idleTimeout)
 		time.Sleep(lost)
 		s.logf("store: restored from a copy %v old after %v", lost, away)
 		s.tier.Store.SetFaults(emulator.StoreFaults{Refuse: 503})
@@ -190,6 +235,6 @@
 		for _, b := range s.tier.Backends {
 			s.tier.Register(b.Server)
 		}
-		s.tier.Apply(s.tier.StoredConfiguration)
+		s.applyAgain()
 	}
 }
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -67,14 +67,18 @@
 	index   int
 	command *exec.Cmd
 	exited  chan struct{}
+	faults  *faultRecord
 	// claimed is set while a fault kills, terminates or suspends the process.
 	claimed atomic.Bool
 }
 
 // Soak is a soak test in progress.
 type Soak struct {
-	config          Config
-	rng             *rand.Rand
+	config Config
+	rng    *rand.Rand
+	// changeRng determines changes of the configuration and the stops beside them, so that
+	// the other faults of a seed stay the same.
+	changeRng       *rand.Rand
 	tier            *stager.Tier
 	storeProxy      *interposer.Proxy
 	searcherProxies []*interposer.Proxy
@@ -82,6 +86,9 @@
 	// restoring is set while the store is restored and written again.
 	restoring atomic.Bool
 
+	// configurationMu orders changes of the configuration.
+	configurationMu sync.Mutex
+
 	mu        sync.Mutex
 	processes []*process
 	report    Report
@@ -89,9 +96,19 @@
 	onceStatus map[string]int
 }
 
+// The streams of random numbers of a seed. Those of the connection callers follow the last.
+const (
+	faultStream = iota + 1
+	changeStream
+	firstCallerStream
+)
+
 // Run runs a soak test with the given seed and returns its report.
 func Run(ctx context.Context, config Config) (Report, error) {
-	s := &Soak{config: config, rng: rand.New(rand.NewPCG(config.Seed, 1)), onceStatus: map[string]int{}, startTime: time.Now()}
+	s := &Soak{
+		config: config, rng: rand.New(rand.NewPCG(config.Seed, faultStream)), changeRng: rand.New(rand.NewPCG(config.Seed, changeStream)),
+		onceStatus: map[string]int{}, startTime: time.Now(),
+	}
 	defer s.close()
 	if err := s.start(ctx); err != nil {
 		return s.report, err
@@ -105,6 +122,9 @@
 			s.generateLoad(loadCtx, n)
 		}()
 	}
+	for n := range len(s.processes) * connectionCallersPerDaemon {
+		callers.Go(func() { s.newConnectionCaller(n).run(loadCtx) })
+	}
 	for round := range config.Rounds {
 		s.logf("round %d: injecting faults", round)
 		s.injectFaults(ctx)
@@ -114,6 +134,8 @@
 	stop()
 	callers.Wait()
 	s.checkOnce()
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	return s.report, nil
 }
 
@@ -164,14 +186,16 @@
 		return err
 	}
 	command := exec.Command(s.config.Program, "front", "-settings", daemon.SettingsFile, "-metrics", "0")
-	command.Stdout, command.Stderr = log, log
+	faults := &faultRecord{}
+	output := &outputWatcher{soak: s, index: p.index, log: log, faults: faults}
+	command.Stdout, command.Stderr = output, output
 	if err := command.Start(); err != nil {
 		_ = log.Close()
 		return err
 	}
 	exited := make(chan struct{})
 	s.mu.Lock()
-	p.TierDaemon, p.command, p.exited = daemon, command, exited
+	p.TierDaemon, p.command, p.exited, p.faults = daemon, command, exited, faults
 	s.mu.Unlock()
 	go func() {
 		_ = command.Wait()
@@ -189,6 +213,12 @@
 	_ = command.Process.Signal(sig)
 }
 
+func (s *Soak) faultsOf(p *process) *faultRecord {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return p.faults
+}
+
 // restartProcess waits for a process to exit and starts it again after a pause.
 func (s *Soak) restartProcess(p *process, pause time.Duration) {
 	<-p.exited
@@ -281,11 +311,15 @@
 	}
 }
 
-// applyNext applies the next version of the configuration, which points a route at a
-// service unless that is empty.
-func (s *Soak) applyNext(service string) planner.Configuration {
+// applyNext applies the next version of the configuration, which has another idle limit and
+// points a route at a service unless that is empty.
+func (s *Soak) applyNext(service string, idleTimeout time.Duration) planner.Configuration {
+	s.configurationMu.Lock()
+	defer s.configurationMu.Unlock()
 	next := s.tier.StoredConfiguration
 	next.Version += 2
+	next.Limits.IdleTimeout = idleTimeout
+	s.logf("configuration: version %d with an idle limit of %v", next.Version, idleTimeout)
 	next.Routes = append([]planner.Route{}, next.Routes...)
 	for i, r := range next.Routes {
 		if r.Name == "single" && service != "" {
@@ -296,11 +330,25 @@
 	return next
 }
 
+// applyAgain stores the current configuration again.
+func (s *Soak) applyAgain() {
+	s.configurationMu.Lock()
+	defer s.configurationMu.Unlock()
+	s.tier.Apply(s.tier.StoredConfiguration)
+}
+
+// idleLimit returns the idle limit of the current configuration.
+func (s *Soak) idleLimit() time.Duration {
+	s.configurationMu.Lock()
+	defer s.configurationMu.Unlock()
+	return s.tier.StoredConfiguration.Limits.IdleTimeout
+}
+
 // checkChange points a route at another service and requires that every daemon applies
 // the change within propagationBound.
 func (s *Soak) checkChange(ctx context.Context) {
 	service := stager.ShardServiceName(s.rng.IntN(s.tier.Config.Shards))
-	next := s.applyNext(service)
+	next := s.applyNext(service, s.randomIdleTimeout())
 	applied := time.Now()
 	time.Sleep(propagationBound)
 	for _, p := range s.processes {
--- a/internal/soaker/soaker_test.go
+++ b/internal/soaker/soaker_test.go
@@ -11,7 +11,10 @@
 )
 
 // seeds run in CI. Add every seed that has ever failed, with a comment on the cause.
-var seeds = []uint64{1}
+var seeds = []uint64{
+	1, 2, // a stop discarded requests that it had read
+	3, // the same, and the sweep of idle connections closed one while a head was arriving
+}
 
 func TestSoak(t *testing.T) {
 	program := filepath.Join(t.TempDir(), "fuchsiastile")
