--- a/internal/acceptor/conn.go
+++ b/internal/acceptor/conn.go
@@ -198,8 +198,11 @@
 		// when it has the first bytes, which it may have read together with the request
 		// before.
 		if c.isAwaited {
-			c.setPhase(phaseReceiving, time.Now())
-			c.unanswered = max(1, c.unanswered)
+			now := time.Now()
+			c.setPhase(phaseReceiving, now)
+			if c.unanswered == 0 {
+				c.unanswered, c.firstByteAt, c.lastByteAt = 1, now, now
+			}
 			c.expired = false
 		}
 		c.isAwaited = true
