--- a/internal/stager/tier_leaving_test.go
+++ b/internal/stager/tier_leaving_test.go
@@ -66,6 +66,14 @@
 				mostUsed := slices.MaxFunc(leaving, func(a, b *emulator.Backend) int { return len(a.Stats().Runs) - len(b.Stats().Runs) })
 				leaving = []*emulator.Backend{mostUsed}
 			}
+			// A daemon may find another searcher faster, however much it used this one before,
+			// and then hears nothing of it for as long as the test lasts. The others are made
+			// slow, so that the one that leaves answers first.
+			for _, b := range backendsOf(tier, test.service) {
+				if !slices.Contains(leaving, b) {
+					b.SetFaults(emulator.BackendFaults{Pause: 50 * time.Millisecond})
+				}
+			}
 			records := make([]leavingRecord, len(leaving))
 			for n, b := range leaving {
 				b.SetFaults(test.faults)
@@ -84,7 +92,7 @@
 				}
 				if time.Since(began) > notice/2 {
 					// Failures must not be what keeps requests away.
-					for _, b := range leaving {
+					for _, b := range backendsOf(tier, test.service) {
 						b.SetFaults(emulator.BackendFaults{})
 					}
 				}
