--- a/internal/stager/tier_leaving_test.go
+++ b/internal/stager/tier_leaving_test.go
@@ -67,8 +67,8 @@
 				leaving = []*emulator.Backend{mostUsed}
 			}
 			// A daemon may find another searcher faster, however much it used this one before,
-			// and then hears nothing of it for as long as the test lasts. The others are made
-			// slow, so that the one that leaves answers first.
+			// and then receives no reply of it for as long as the test lasts. The others are
+			// made slow, so that the one that leaves replies first.
 			for _, b := range backendsOf(tier, test.service) {
 				if !slices.Contains(leaving, b) {
 					b.SetFaults(emulator.BackendFaults{Pause: 50 * time.Millisecond})
