--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -301,7 +301,7 @@
 	return err
 }
 
-// serve runs the server. After a Shutdown it returns only once ctx is done: the
+// serve runs the server. After a Drain it returns only once ctx is done: the
 // run group ends with its first member, which must be the completed stop.
 func (b boundServer) serve(ctx context.Context) error {
 	err := b.Serve(b.conns)
