--- a/internal/stager/stop_connections_test.go
+++ b/internal/stager/stop_connections_test.go
@@ -44,9 +44,6 @@
 	dialAt, partAt, wholeAt time.Time
 	partLength              int
 
-	// late means that the machine was too slow, so that a connection without a request may
-	// have been closed rightly.
-	late   bool
 	status int
 	// closes reports whether the response announces the end of the connection.
 	closes bool
@@ -54,21 +51,14 @@
 	err    error
 }
 
-// maxSilence is less than how long a stopping daemon waits for the first request of a new
-// connection, 500 ms.
-const maxSilence = 480 * time.Millisecond
-
 // run sends the search and reads the whole response.
 func (s *timedSearch) run(address string) {
 	if s.conn == nil {
 		time.Sleep(time.Until(s.dialAt))
-		dialledAt := time.Now()
 		if s.conn, s.err = net.Dial("tcp", address); s.err != nil {
 			return
 		}
 		defer func() { _ = s.conn.Close() }()
-		time.Sleep(time.Until(s.partAt))
-		s.late = time.Since(dialledAt) > maxSilence
 	}
 	body := `{"q":"wheel"}`
 	request := fmt.Sprintf("POST /v1/search/parts-finder HTTP/1.1\r\nHost: %s\r\n%s: counter\r\nContent-Length: %d\r\n\r\n%s", stager.TierHost, caller.HeaderClass, len(body), body)
@@ -122,12 +112,7 @@
 	wait.Wait()
 	is.NoErr(<-stopped.RunErr)
 	noticeEnd := stopAt.Add(noticePeriod)
-	judged := 0
 	for _, s := range searches {
-		if s.late {
-			continue
-		}
-		judged++
 		t.Logf("%d bytes %v, whole %v after the notice: status %d, %.80s, %v", s.partLength, s.partAt.Sub(noticeEnd).Round(time.Millisecond),
 			s.wholeAt.Sub(noticeEnd).Round(time.Millisecond), s.status, s.body, s.err)
 		if s.err != nil {
@@ -140,7 +125,6 @@
 		}
 		is.True(s.closes)
 	}
-	is.True(judged >= len(searches)/2)
 }
 
 // TestSearchesOnNewConnectionsAtStopAreAnswered guards against a stopping daemon that closes
