Every request of a caller ends as one counted outcome

Change: the acceptor counts each request of which a byte was read as answered, refused, callerLeft or cut (callerRequestsTotal, callerRequestsOpen), and logs the counts as the process ends, as an error if a request was cut or is open. An answer that breaks off midway is a cut and is logged as one. The log keeps a part of its limit for lines of errors.

--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -40,14 +40,18 @@
 )
 
 // Cut describes a connection that was closed after bytes of a request had been read and
-// before any byte of its response was written.
+// before the whole of its response was written.
 type Cut struct {
 	Remote string
 	Cause  Cause
 	// IsActive reports whether the HTTP server had the head of the request.
 	IsActive bool
-	// Bytes is how much of the request had been read.
+	// Bytes is how much was read after the last byte that was written.
 	Bytes int
+	// Written is how much of the response was written, and Err why not the rest; nil if the
+	// connection was closed before it was written.
+	Written int
+	Err     error
 	// SinceFirstByte and SinceLastByte are the times since its first and last read bytes.
 	SinceFirstByte, SinceLastByte time.Duration
 }
@@ -66,6 +70,7 @@
 type Acceptor struct {
 	listener net.Listener
 	onCut    func(Cut)
+	ledger   ledger
 
 	mu sync.Mutex
 	// conns holds the open connections.
@@ -79,7 +84,7 @@
 // New returns an Acceptor that accepts connections from listener. It calls onCut for every
 // cut request.
 func New(listener net.Listener, onCut func(Cut)) *Acceptor {
-	return &Acceptor{listener: listener, onCut: onCut, conns: map[*Conn]struct{}{}}
+	return &Acceptor{listener: listener, onCut: onCut, ledger: ledger{ended: map[Outcome]int{}}, conns: map[*Conn]struct{}{}}
 }
 
 // Addr implements net.Listener.
@@ -114,9 +119,31 @@
 	return a.listener.Close()
 }
 
-// TrackState records the state of one of the acceptor's connections; it is an
-// http.Server's ConnState hook.
-func (a *Acceptor) TrackState(c net.Conn, state http.ConnState) {
+// connKey is the key of a connection in the contexts of its requests.
+type connKey struct{}
+
+// Attach makes the acceptor follow the requests of a server that serves its connections. The
+// server must not have begun, and must have its handler.
+func (a *Acceptor) Attach(server *http.Server) {
+	handler := server.Handler
+	server.ConnState = a.trackState
+	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		return context.WithValue(ctx, connKey{}, c)
+	}
+	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c, ok := r.Context().Value(connKey{}).(*Conn)
+		if !ok {
+			handler.ServeHTTP(w, r)
+			return
+		}
+		c.setHandled(true)
+		handler.ServeHTTP(w, r)
+		c.setHandled(false)
+	})
+}
+
+// trackState records the state of one of the acceptor's connections.
+func (a *Acceptor) trackState(c net.Conn, state http.ConnState) {
 	if tracked, ok := c.(*Conn); ok {
 		tracked.trackState(state)
 	}
--- a/internal/acceptor/acceptor_test.go
+++ b/internal/acceptor/acceptor_test.go
@@ -41,17 +41,30 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	s.is.NoErr(err)
 	s.Acceptor = New(l, s.recordCut)
-	server := &http.Server{ReadHeaderTimeout: time.Minute, IdleTimeout: time.Minute, ConnState: s.TrackState, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	server := &http.Server{ReadHeaderTimeout: time.Minute, IdleTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
 		s.ran[r.URL.Path] = true
 		s.mu.Unlock()
-		if r.URL.Path == "/wait" {
+		switch r.URL.Path {
+		case "/wait":
 			<-s.release
+		case "/leave":
+			<-r.Context().Done()
+			panic(http.ErrAbortHandler)
+		case "/shed":
+			w.WriteHeader(http.StatusServiceUnavailable)
+		case "/midway":
+			w.Header().Set("Content-Length", "100")
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		case "/abort":
+			panic(http.ErrAbortHandler)
 		}
 		if closeAfter {
 			w.Header().Set("Connection", "close")
 		}
 	})}
+	s.Attach(server)
 	done := make(chan error, 1)
 	go func() { done <- server.Serve(s.Acceptor) }()
 	t.Cleanup(func() {
@@ -202,8 +215,8 @@
 	is := is.New(t)
 	conn, caller := serve(t, false).accept(t)
 	a := conn.acceptor
-	a.TrackState(conn, http.StateActive)
-	a.TrackState(conn, http.StateIdle)
+	a.trackState(conn, http.StateActive)
+	a.trackState(conn, http.StateIdle)
 	_, err := io.WriteString(caller, request)
 	is.NoErr(err)
 	buffer := make([]byte, 1000)
@@ -330,7 +343,7 @@
 	_, err = conn.Read(make([]byte, 1000))
 	s.is.NoErr(err)
 	s.is.Equal(conn.acceptor.Sweep(time.Now().Add(time.Second), Limits{}), 1)
-	conn.acceptor.TrackState(conn, http.StateActive)
+	conn.acceptor.trackState(conn, http.StateActive)
 	s.is.NoErr(conn.SetReadDeadline(time.Now().Add(50 * time.Millisecond)))
 	started := time.Now()
 	_, err = conn.Read(make([]byte, 1)) // as the HTTP server does while a handler runs
@@ -486,3 +499,49 @@
 	is.Equal(cuts[0].Bytes, len(request))
 	is.Equal(cuts[1].Cause, CauseCaller)
 }
+
+// awaitEnded waits until no request is open and returns the counts.
+func (s *served) awaitEnded(begun int) Counts {
+	deadline := time.Now().Add(closeWait)
+	for {
+		c := s.Counts()
+		if c.Begun == begun && c.Open == 0 || time.Now().After(deadline) {
+			return c
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// TestEveryRequestEndsOnce guards against requests whose end nothing counts: answers that
+// break off midway above all.
+func TestEveryRequestEndsOnce(t *testing.T) {
+	t.Parallel()
+	s := serve(t, false)
+	answered := s.dial()
+	for range 3 {
+		answered.send(request)
+		answered.awaitAnswer(http.StatusOK)
+	}
+	refused := s.dial()
+	refused.send(request[:10])
+	s.awaitPhases(1, 1, 0)
+	s.Sweep(time.Now().Add(time.Minute), Limits{New: time.Hour, Idle: time.Hour, Head: time.Second})
+	refused.awaitAnswer(http.StatusRequestTimeout)
+	shed := s.dial()
+	shed.send(strings.Replace(request, "/", "/shed", 1))
+	shed.awaitAnswer(http.StatusServiceUnavailable)
+	left := s.dial()
+	left.send(strings.Replace(request, "/", "/leave", 1))
+	s.awaitPhases(2, 0, 1)
+	s.is.NoErr(left.Close())
+	aborted := s.dial()
+	aborted.send(strings.Replace(request, "/", "/abort", 1))
+	s.is.True(aborted.isClosed(closeWait))
+	midway := s.dial()
+	midway.send(strings.Replace(request, "/", "/midway", 1))
+	s.is.True(midway.isClosed(closeWait))
+	s.is.Equal(s.awaitEnded(8), Counts{Begun: 8, Ended: map[Outcome]int{
+		OutcomeAnswered: 3, OutcomeRefused: 2, OutcomeCallerLeft: 1, OutcomeCut: 2,
+	}})
+	s.is.Equal(len(s.cutCauses()), 3)
+}
--- a/internal/acceptor/conn.go
+++ b/internal/acceptor/conn.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -60,7 +61,15 @@
 	// were read.
 	unanswered              int
 	firstByteAt, lastByteAt time.Time
-	// callerLeft is set when a read fails because the caller closed or reset the
+	// isOpen is set while the acceptor's ledger counts a request of this connection as open.
+	isOpen bool
+	// isHandled is set while the HTTP handler runs, and stays set if it panics.
+	isHandled bool
+	// status is that of the response to the open request, 0 until its head is written; written
+	// is how many of its bytes were. writeErr is the first error of writing them.
+	status, written int
+	writeErr        error
+	// callerLeft is set when a read or a write fails because the caller closed or reset the
 	// connection.
 	callerLeft bool
 	// timedOut is set when a read fails because the connection has exceeded a limit. Nothing
@@ -126,7 +135,9 @@
 		return
 	}
 	_ = c.SetWriteDeadline(time.Now().Add(refusalTimeout))
-	if _, err := io.WriteString(c.Conn, requestTimeout); err == nil {
+	n, err := io.WriteString(c.Conn, requestTimeout)
+	c.recordWrite([]byte(requestTimeout), n, err)
+	if err == nil {
 		c.unanswered = 0
 	}
 }
@@ -148,9 +159,64 @@
 	}
 }
 
+// recordWrite records that n bytes of p were written. The caller holds mu.
+func (c *Conn) recordWrite(p []byte, n int, err error) {
+	if status, ok := parseStatus(p); ok && c.status < http.StatusOK {
+		c.status = status
+	}
+	c.written += n
+	if err != nil && c.writeErr == nil {
+		c.writeErr = err
+		c.callerLeft = c.callerLeft || errors.Is(err, syscall.EPIPE) || errors.Is(err, syscall.ECONNRESET)
+	}
+}
+
+// parseStatus returns the status of a response that begins with p.
+func parseStatus(p []byte) (int, bool) {
+	const prefix = "HTTP/1.1 "
+	if len(p) < len(prefix)+3 || string(p[:len(prefix)]) != prefix {
+		return 0, false
+	}
+	status, err := strconv.Atoi(string(p[len(prefix) : len(prefix)+3]))
+	return status, err == nil
+}
+
 // setPhase begins a phase. The caller holds mu.
 func (c *Conn) setPhase(next phase, now time.Time) {
 	c.phase, c.phaseSince = next, now
+	if next == phaseWaiting || c.isOpen {
+		return
+	}
+	c.isOpen = true
+	c.status, c.written, c.writeErr = 0, 0, nil
+	c.acceptor.ledger.begin()
+}
+
+// endRequest ends the open request, if any, and returns its outcome. The caller holds mu.
+func (c *Conn) endRequest() Outcome {
+	if !c.isOpen {
+		return ""
+	}
+	c.isOpen = false
+	outcome := c.outcome()
+	c.acceptor.ledger.end(outcome)
+	return outcome
+}
+
+// outcome returns the outcome of the open request if it ends now. The HTTP server writes the
+// whole response unless the handler panics or a write fails. The caller holds mu.
+func (c *Conn) outcome() Outcome {
+	isWhole := c.status >= http.StatusOK && !c.isHandled && c.writeErr == nil
+	switch {
+	case isWhole && isRefusal(c.status):
+		return OutcomeRefused
+	case isWhole:
+		return OutcomeAnswered
+	case c.callerLeft:
+		return OutcomeCallerLeft
+	default:
+		return OutcomeCut
+	}
 }
 
 // restoreDeadline undoes expire. The caller holds mu.
@@ -223,7 +289,11 @@
 	}
 	c.unanswered = 0
 	c.mu.Unlock()
-	return c.Conn.Write(p)
+	n, err := c.Conn.Write(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.recordWrite(p, n, err)
+	return n, err
 }
 
 // CloseWrite closes the sending direction. The HTTP server does so before it closes a
@@ -235,15 +305,22 @@
 	return nil
 }
 
-// Close implements net.Conn. It reports the request that this cuts, if any.
+// Close implements net.Conn. It reports the request that this ends without a whole response,
+// if any.
 func (c *Conn) Close() error {
 	c.mu.Lock()
 	now := time.Now()
+	if !c.closed && !c.isOpen && c.unanswered > 0 {
+		// The beginning of a request was read together with the one before.
+		c.setPhase(phaseReceiving, c.firstByteAt)
+	}
 	cut := Cut{
 		Remote: c.RemoteAddr().String(), Cause: c.cause(), IsActive: c.phase == phaseActive, Bytes: c.unanswered,
+		Written: c.written, Err: c.writeErr,
 		SinceFirstByte: now.Sub(c.firstByteAt), SinceLastByte: now.Sub(c.lastByteAt),
 	}
-	isCut := !c.closed && c.unanswered > 0
+	outcome := c.endRequest()
+	isCut := outcome == OutcomeCut || outcome == OutcomeCallerLeft
 	c.closed = true
 	c.mu.Unlock()
 	if isCut {
@@ -264,6 +341,12 @@
 	}
 }
 
+func (c *Conn) setHandled(isHandled bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.isHandled = isHandled
+}
+
 // trackState records a state that the HTTP server reports.
 func (c *Conn) trackState(state http.ConnState) {
 	c.mu.Lock()
@@ -274,6 +357,7 @@
 		c.setPhase(phaseActive, time.Now())
 		c.restoreDeadline()
 	case http.StateIdle:
+		c.endRequest()
 		c.isAwaited = false
 		c.setPhase(phaseWaiting, time.Now())
 	case http.StateNew, http.StateClosed, http.StateHijacked:
--- a/internal/acceptor/cut.go
+++ b/internal/acceptor/cut.go
@@ -13,6 +13,6 @@
 	if c.Cause == CauseCaller {
 		return
 	}
-	klog.InfoS("connection closed with a request unanswered", "cause", c.Cause, "remote", c.Remote, "active", c.IsActive, "bytes", c.Bytes,
+	klog.ErrorS(c.Err, "connection closed with a request unanswered", "cause", c.Cause, "remote", c.Remote, "active", c.IsActive, "bytes", c.Bytes, "written", c.Written,
 		"sinceFirstByteMillis", c.SinceFirstByte.Milliseconds(), "sinceLastByteMillis", c.SinceLastByte.Milliseconds(), "stopping", stopping)
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -193,7 +193,9 @@
 	d.attempts.Store(newRand().Uint64())
 	d.members = d.newGossiper()
 	d.callerConns = acceptor.New(l.callers, func(cut acceptor.Cut) { cut.Record(d.metrics.set, d.stopping.Load()) })
-	d.callers = &http.Server{Handler: d.callersHandler(), ReadHeaderTimeout: headerTimeout, ConnState: d.callerConns.TrackState}
+	d.callers = &http.Server{Handler: d.callersHandler(), ReadHeaderTimeout: headerTimeout}
+	d.callerConns.Attach(d.callers)
+	d.callerConns.Register(d.metrics.set)
 	d.operators = &http.Server{Handler: d.operatorsHandler(), ReadHeaderTimeout: headerTimeout}
 	d.addSeeds(settings.Seeds)
 	return d, nil
@@ -316,6 +318,7 @@
 	err := group.Run()
 	d.linker.Close()
 	d.sender.Close()
+	d.callerConns.Counts().Record(d.settings.Name)
 	klog.InfoS("daemon stopped", "name", d.settings.Name)
 	return err
 }
--- a/internal/logger/logger.go
+++ b/internal/logger/logger.go
@@ -4,6 +4,7 @@
 package logger
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"sync"
@@ -18,8 +19,14 @@
 	// that bounds the log volume under load.
 	linesPerSecond = 150
 	burstLines     = 600
+	// reservedLines is the part of the queue and of the token bucket that is left for
+	// lines of errors.
+	reservedLines = 100
 )
 
+// errorPrefix begins klog's lines of errors.
+var errorPrefix = []byte("E")
+
 // Writer writes lines to an underlying writer without blocking on it. It is safe
 // for concurrent use.
 type Writer struct {
@@ -45,9 +52,14 @@
 }
 
 // Write queues a copy of a line, or drops it if the rate limit is exceeded or the
-// queue is full. It always reports success.
+// queue is full. Lines of errors may use what is reserved for them. It always reports
+// success.
 func (w *Writer) Write(line []byte) (int, error) {
 	queued := append([]byte(nil), line...)
+	reserved := reservedLines
+	if bytes.HasPrefix(line, errorPrefix) {
+		reserved = 0
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.closed {
@@ -56,7 +68,7 @@
 	now := time.Now()
 	w.tokens = min(burstLines, w.tokens+linesPerSecond*now.Sub(w.refilledAt).Seconds())
 	w.refilledAt = now
-	if w.tokens < 1 {
+	if w.tokens < float64(1+reserved) || len(w.queue) >= queueSize-reserved {
 		w.dropped++
 		return len(line), nil
 	}
--- a/internal/logger/logger_test.go
+++ b/internal/logger/logger_test.go
@@ -65,3 +65,20 @@
 	_, err := w.Write([]byte("after close\n"))
 	is.NoErr(err)
 }
+
+// TestErrorsAreNotDroppedForOtherLines guards against losing the line of a cut request because
+// a daemon under load has used up the log's limit for lines on answered ones.
+func TestErrorsAreNotDroppedForOtherLines(t *testing.T) {
+	is := is.New(t)
+	out := &blockingWriter{release: make(chan struct{})}
+	w := logger.New(out)
+	for range 5000 {
+		_, _ = w.Write([]byte("I line\n"))
+	}
+	for range 50 {
+		_, _ = w.Write([]byte("E cut\n"))
+	}
+	close(out.release)
+	w.Close(time.Second)
+	is.Equal(strings.Count(out.text(), "E cut\n"), 50)
+}
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -157,6 +157,7 @@
 	if err := s.listen(settings); err != nil {
 		return nil, err
 	}
+	s.callerServer.conns.Register(s.metrics)
 	return s, nil
 }
 
@@ -184,7 +185,8 @@
 			return failer.Wrap("listen on "+endpoint.address, KindListen, err)
 		}
 		conns := acceptor.New(l, func(cut acceptor.Cut) { cut.Record(s.metrics, s.stop.Load() != nil) })
-		httpServer := &http.Server{Handler: endpoint.handler, ReadHeaderTimeout: maxServerTimeout, IdleTimeout: maxServerTimeout, ConnState: conns.TrackState}
+		httpServer := &http.Server{Handler: endpoint.handler, ReadHeaderTimeout: maxServerTimeout, IdleTimeout: maxServerTimeout}
+		conns.Attach(httpServer)
 		*endpoint.server = boundServer{Server: httpServer, conns: conns}
 	}
 	return nil
@@ -297,6 +299,7 @@
 	}
 	err := group.Run()
 	s.responder.Close()
+	s.callerServer.conns.Counts().Record(settings.Name)
 	klog.InfoS("daemon stopped", "name", settings.Name)
 	return err
 }
