Responses announce for how long their connection may be used again

Callers saw: requests on kept connections that ended without a response, at the end of a stop's notice and at the idle limit, also one that a configuration lowers. Cause: the daemon closed idle connections without having announced it, so that requests crossed the close on the network. Change: a response says with Keep-Alive for how long its connection may be used again, in whole seconds, less than the idle limit and less than a stop's notice. The connection stays open for that time and a margin, whatever limits come meanwhile; after a stop has begun each response closes its connection. So no connection that its caller may use is closed by a limit or a stop. Measured: TestAnnouncedConnectionsStayOpen and TestAnnouncementsEndBeforeTheirLimits.

--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -60,10 +60,13 @@
 type Limits struct {
 	// New is the time from the beginning of a connection to the first byte of a request.
 	New time.Duration
-	// Idle is the time between a response and the first byte of the next request.
+	// Idle is the time between a response and the first byte of the next request. A
+	// connection whose last response announced more keeps that.
 	Idle time.Duration
 	// Head is the time from the first byte of a request to the end of its head.
 	Head time.Duration
+	// Forced makes Idle apply to connections that announced more, too.
+	Forced bool
 }
 
 // Acceptor is the listener of an HTTP server. It is safe for concurrent use.
@@ -162,8 +165,9 @@
 }
 
 // Drain closes the listener and waits until all connections are closed. Until answerBy every
-// request that has begun to arrive is served; later ones are not read any more. Responses
-// must ask the callers to close their connections. If ctx ends first, Drain returns its error
+// request that has begun to arrive is served; later ones are not read any more. Connections
+// stay open for as long as their last response announced. Responses must ask the callers to
+// close their connections. If ctx ends first, Drain returns its error
 // and leaves the remaining connections open.
 func (a *Acceptor) Drain(ctx context.Context, head time.Duration, answerBy time.Time) error {
 	_ = a.Close()
@@ -174,7 +178,7 @@
 		now := time.Now()
 		limits := Limits{New: firstRequestWait, Head: head}
 		if !now.Before(answerBy) {
-			limits = Limits{}
+			limits = Limits{Forced: true}
 		}
 		a.Sweep(now, limits)
 		scheduler.Sleep(ctx, drainInterval)
--- a/internal/acceptor/acceptor_test.go
+++ b/internal/acceptor/acceptor_test.go
@@ -57,6 +57,10 @@
 			w.Header().Set("Content-Length", "100")
 			_ = http.NewResponseController(w).Flush()
 			panic(http.ErrAbortHandler)
+		case "/announce":
+			Announce(r.Context(), w.Header(), Announcement{Idle: 4 * time.Second, Notice: 2 * time.Second})
+		case "/closing":
+			Announce(r.Context(), w.Header(), Announcement{Idle: time.Minute, Notice: time.Minute, Closing: true})
 		case "/abort":
 			panic(http.ErrAbortHandler)
 		}
@@ -137,13 +141,18 @@
 	c.is.NoErr(err)
 }
 
-// awaitAnswer reads an answer and checks its status.
-func (c *client) awaitAnswer(status int) {
+// awaitAnswer reads an answer, checks its status and returns its header.
+func (c *client) awaitAnswer(status int) http.Header {
 	c.is.NoErr(c.SetReadDeadline(time.Now().Add(closeWait)))
 	response, err := http.ReadResponse(c.reader, nil)
 	c.is.NoErr(err)
 	c.is.Equal(response.StatusCode, status)
 	c.is.NoErr(response.Body.Close())
+	// net/http takes the field out of the header.
+	if response.Close {
+		response.Header.Set("Connection", "close")
+	}
+	return response.Header
 }
 
 // isClosed reports whether the server closes the connection within the given time.
@@ -545,3 +554,42 @@
 	}})
 	s.is.Equal(len(s.cutCauses()), 3)
 }
+
+// TestAnnouncedConnectionsStayOpen guards against closing a connection that its caller may
+// still use according to the last response, at a lowered limit or in a stop.
+func TestAnnouncedConnectionsStayOpen(t *testing.T) {
+	t.Parallel()
+	s := serve(t, false)
+	announced, silent, closing := s.dial(), s.dial(), s.dial()
+	announced.send(strings.Replace(request, "/", "/announce", 1))
+	s.is.Equal(announced.awaitAnswer(http.StatusOK).Get("Keep-Alive"), "timeout=1")
+	silent.send(request)
+	s.is.Equal(silent.awaitAnswer(http.StatusOK).Get("Keep-Alive"), "")
+	s.awaitPhases(3, 0, 0)
+	closing.send(strings.Replace(request, "/", "/closing", 1))
+	s.is.Equal(closing.awaitAnswer(http.StatusOK).Get("Connection"), "close")
+	s.is.True(closing.isClosed(closeWait))
+	lowered := Limits{New: time.Hour, Idle: time.Millisecond, Head: time.Hour}
+	s.is.Equal(s.Sweep(time.Now().Add(100*time.Millisecond), lowered), 1)
+	s.is.True(silent.isClosed(closeWait))
+	s.is.True(!announced.isClosed(stayWait))
+	s.is.Equal(s.Sweep(time.Now().Add(1600*time.Millisecond), lowered), 1)
+	s.is.True(announced.isClosed(closeWait))
+}
+
+// TestAnnouncementsEndBeforeTheirLimits guards against a promise that outlasts the idle limit
+// or a stop's notice.
+func TestAnnouncementsEndBeforeTheirLimits(t *testing.T) {
+	is := is.New(t)
+	for _, test := range []struct{ idle, notice, want time.Duration }{
+		{15 * time.Second, 2700 * time.Millisecond, 2 * time.Second},
+		{2 * time.Second, time.Minute, time.Second},
+		{time.Second, time.Minute, 0},
+		{time.Minute, 700 * time.Millisecond, 0},
+		{0, time.Minute, 0},
+	} {
+		got := Announcement{Idle: test.idle, Notice: test.notice}.reusable()
+		is.Equal(got, test.want)
+		is.True(got == 0 || got+arrivalMargin <= min(test.idle, test.notice))
+	}
+}
--- a/internal/acceptor/conn.go
+++ b/internal/acceptor/conn.go
@@ -46,6 +46,9 @@
 	phase phase
 	// phaseSince is when the phase began.
 	phaseSince time.Time
+	// announced is how long the connection stays open after its last response, as that one
+	// said; zero if it said nothing.
+	announced time.Duration
 	// isNew is set until the HTTP server has the head of the first request.
 	isNew bool
 	// deadline is the read deadline that the HTTP server has set last.
@@ -250,11 +253,19 @@
 		return limits.Head
 	case c.isNew:
 		return limits.New
-	default:
+	case limits.Forced:
 		return limits.Idle
+	default:
+		return max(limits.Idle, c.announced)
 	}
 }
 
+func (c *Conn) setAnnounced(announced time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.announced = announced
+}
+
 // SetReadDeadline implements net.Conn.
 func (c *Conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
--- a/internal/responder/responder.go
+++ b/internal/responder/responder.go
@@ -81,9 +81,11 @@
 	// other daemons of the failure domain.
 	SendReport  func([]reporter.Observation) (isCollector bool)
 	SendSummary func(reporter.Summary)
-	// Stop returns the schedule of the daemon's shutdown; nil while it runs. Responses ask
-	// the callers to close their connections as soon as there is one.
+	// Stop returns the schedule of the daemon's shutdown; nil while it runs.
 	Stop func() *Stop
+	// Announce adds to the header of a response for how long the connection of its request,
+	// whose context it gets, may be used again.
+	Announce func(ctx context.Context, h http.Header)
 	// Expired is closed at Stop.AnswerBy.
 	Expired <-chan struct{}
 	// DisabledPolicies lists policies to disable, for comparison measurements.
@@ -241,9 +243,7 @@
 	} else {
 		resp = r.execute(request, c)
 	}
-	if r.config.Stop() != nil {
-		w.Header().Set("Connection", "close")
-	}
+	r.config.Announce(request.Context(), w.Header())
 	if resp.callerLeft {
 		// The caller has disconnected, so no response can be sent.
 		r.record(c, resp)
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -144,6 +144,7 @@
 		State:     s.follower.State,
 		Ready:     s.follower.Ready(),
 		Stop:      s.stop.Load,
+		Announce:  func(ctx context.Context, h http.Header) { acceptor.Announce(ctx, h, s.announcement()) },
 		Expired:   s.expired,
 
 		OnDisplaced:      s.follower.AnnounceDisplaced,
@@ -258,15 +259,26 @@
 // Stop begins a graceful stop; Run returns when it is complete.
 func (s *Supervisor) Stop() {
 	s.stopOnce.Do(func() {
-		now, answerWithin := time.Now(), s.settings.Load().Bounds.StopGracePeriod-stopMargin-answerTime
-		s.stop.Store(&responder.Stop{
-			AcceptUntil: now.Add(min(lameDuckPeriod, answerWithin/2)),
-			AnswerBy:    now.Add(answerWithin),
-		})
+		now := time.Now()
+		accept, answer := s.stopPeriods()
+		s.stop.Store(&responder.Stop{AcceptUntil: now.Add(accept), AnswerBy: now.Add(answer)})
 		close(s.stopRequested)
 	})
 }
 
+// stopPeriods returns how long a stopping daemon accepts connections and by when it answers,
+// both from the beginning of the stop.
+func (s *Supervisor) stopPeriods() (accept, answer time.Duration) {
+	answer = s.settings.Load().Bounds.StopGracePeriod - stopMargin - answerTime
+	return min(lameDuckPeriod, answer/2), answer
+}
+
+// announcement returns for how long callers may reuse their connections.
+func (s *Supervisor) announcement() acceptor.Announcement {
+	accept, _ := s.stopPeriods()
+	return acceptor.Announcement{Idle: s.connectionLimits().Idle, Notice: accept, Closing: s.stop.Load() != nil}
+}
+
 // Kill makes Run return without a graceful stop, as after a crash.
 func (s *Supervisor) Kill() {
 	s.killOnce.Do(func() { close(s.killed) })
