Probes that the end of a process cuts are not reported as requests of callers

Cause: the readiness and metrics servers reported cut requests like the callers' server, although the counter and the line are described as those of callers. Change: only the callers' server reports them.

--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -168,14 +168,18 @@
 	if s.config.MetricsPort > 0 {
 		metricsAddress = net.JoinHostPort(settings.IP, fmt.Sprint(s.config.MetricsPort))
 	}
+	recordCut := func(cut acceptor.Cut) { cut.Record(s.metrics, s.stop.Load() != nil) }
+	// Probes that the end of the process cuts are of no consequence.
+	ignoreCut := func(acceptor.Cut) {}
 	for _, endpoint := range []struct {
 		server  *boundServer
 		address string
 		handler http.Handler
+		onCut   func(acceptor.Cut)
 	}{
-		{&s.callerServer, settings.CallerAddress, s.responder},
-		{&s.readinessServer, settings.ReadinessAddress, http.HandlerFunc(s.handleReadiness)},
-		{&s.metricsServer, metricsAddress, http.HandlerFunc(s.handleMetrics)},
+		{&s.callerServer, settings.CallerAddress, s.responder, recordCut},
+		{&s.readinessServer, settings.ReadinessAddress, http.HandlerFunc(s.handleReadiness), ignoreCut},
+		{&s.metricsServer, metricsAddress, http.HandlerFunc(s.handleMetrics), ignoreCut},
 	} {
 		if endpoint.address == "" {
 			continue
@@ -185,7 +189,7 @@
 			s.closeListeners()
 			return failer.Wrap("listen on "+endpoint.address, KindListen, err)
 		}
-		conns := acceptor.New(l, func(cut acceptor.Cut) { cut.Record(s.metrics, s.stop.Load() != nil) })
+		conns := acceptor.New(l, endpoint.onCut)
 		httpServer := &http.Server{Handler: endpoint.handler, ReadHeaderTimeout: maxServerTimeout, IdleTimeout: maxServerTimeout}
 		conns.Attach(httpServer)
 		*endpoint.server = boundServer{Server: httpServer, conns: conns}
