--- a/internal/stager/tier.go
+++ b/internal/stager/tier.go
@@ -315,8 +315,11 @@
 
 // Reply is the response that a caller received.
 type Reply struct {
-	Status  int
-	Header  http.Header
+	Status int
+	Header http.Header
+	// Closes reports whether the response closes its connection; net/http removes this from
+	// the header.
+	Closes  bool
 	Body    []byte
 	Latency time.Duration
 }
@@ -337,7 +340,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	data, err := io.ReadAll(response.Body)
-	return Reply{Status: response.StatusCode, Header: response.Header, Body: data, Latency: time.Since(started)}, err
+	return Reply{Status: response.StatusCode, Header: response.Header, Closes: response.Close, Body: data, Latency: time.Since(started)}, err
 }
 
 // Close stops all daemons, searchers and the store at once, without draining.
--- a/internal/stager/tier_connections_test.go
+++ b/internal/stager/tier_connections_test.go
@@ -64,7 +64,7 @@
 	}
 	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if r.err = err; err == nil {
-		r.reply = stager.Reply{Status: response.StatusCode, Header: response.Header}
+		r.reply = stager.Reply{Status: response.StatusCode, Header: response.Header, Closes: response.Close}
 		r.reply.Body, r.err = io.ReadAll(response.Body)
 	}
 	return r
@@ -74,14 +74,13 @@
 // has not run. It returns the number of successes.
 func checkParted(t *testing.T, tier *stager.Tier, r partedRequest) int {
 	t.Helper()
-	ran := runCount(tier, r.id)
 	switch {
 	case r.err != nil:
-		t.Errorf("%s: runs %d, the rest sent %v after the first part: %v", r.path, ran, r.wholeBy.Sub(r.firstBy).Round(time.Millisecond), r.err)
+		t.Errorf("%s: runs %d, the rest sent %v after the first part: %v", r.path, runCount(tier, r.id), r.wholeBy.Sub(r.firstBy).Round(time.Millisecond), r.err)
 	case checkReply(t, tier, r.path, r.id, r.reply):
 		return 1
-	case r.reply.Status != http.StatusServiceUnavailable || ran > 0:
-		t.Errorf("%s: runs %d, status %d", r.path, ran, r.reply.Status)
+	case r.reply.Status != http.StatusServiceUnavailable || runCount(tier, r.id) > 0:
+		t.Errorf("%s: runs %d, status %d", r.path, runCount(tier, r.id), r.reply.Status)
 	}
 	return 0
 }
@@ -177,20 +176,27 @@
 	is.NoErr(<-tier.Daemons[0].RunErr)
 }
 
+// headLimit is the limit for heads of requests that applyLimits applies.
+const headLimit = 3 * time.Second
+
 // applyLimits applies limits for callers' connections and waits until they are in force at
-// the first daemon, as a route shows that comes with them.
-func applyLimits(t *testing.T, tier *stager.Tier, head, idle time.Duration) {
+// every daemon, as a route shows that comes with them.
+func applyLimits(t *testing.T, tier *stager.Tier, idle time.Duration) {
 	t.Helper()
 	c := tier.InitialConfiguration()
 	c.Version = tier.StoredConfiguration.Version + 1
-	c.Limits.HeaderTimeout, c.Limits.IdleTimeout = head, idle
+	c.Limits.HeaderTimeout, c.Limits.IdleTimeout = headLimit, idle
 	added := c.Routes[2]
-	added.Name, added.PathPrefix = "limited", "/limited/"
+	added.Name, added.PathPrefix = "limited", fmt.Sprintf("/limited/%d/", c.Version)
 	c.Routes = append(c.Routes, added)
 	tier.Apply(c)
 	eventually(t, "the limits are in force", func() bool {
-		_, reply := sendRequest(t, tier, 0, added.PathPrefix+"x")
-		return reply.Status == http.StatusOK
+		for n := range tier.Daemons {
+			if _, reply := sendRequest(t, tier, n, added.PathPrefix+"x"); reply.Status != http.StatusOK {
+				return false
+			}
+		}
+		return true
 	})
 }
 
@@ -200,13 +206,13 @@
 	t.Parallel()
 	is := is.New(t)
 	tier := newTier(t, nil)
-	const head, idle = 3 * time.Second, 2 * time.Second
-	applyLimits(t, tier, head, idle)
+	const idle = 2 * time.Second
+	applyLimits(t, tier, idle)
 	conns, sentAt := keepConnections(t, tier, 30)
 	judged, successes := checkCallers(t, tier, len(conns), func() {}, func(n int) partedRequest {
 		firstAt := sentAt[n].Add(1500 * time.Millisecond)
 		r := sendInParts(conns[n], n, 1+4*n, firstAt, firstAt.Add(1600*time.Millisecond))
-		r.late = r.firstBy.Sub(sentAt[n]) > idle || r.wholeBy.Sub(r.firstBy) > head
+		r.late = r.firstBy.Sub(sentAt[n]) > idle || r.wholeBy.Sub(r.firstBy) > headLimit
 		return r
 	})
 	is.Equal(successes, judged)
@@ -264,7 +270,7 @@
 		})
 	}
 	time.Sleep(2 * time.Second)
-	applyLimits(t, tier, 3*time.Second, time.Second)
+	applyLimits(t, tier, time.Second)
 	wait.Wait()
 	requests := slices.Concat(answered...)
 	is.True(len(requests) >= len(conns))
