Soak: a process that ends with unanswered requests is a violation

Cause: a process counts the requests that it began to read and logs at its end whether all got a response. The soak watched only for the lines of single cuts, which the log may drop. Change: the line of the sum is a violation unless the process was suspended in that run. A test covers it and the present form of the line of a cut.

--- a/internal/soaker/connections.go
+++ b/internal/soaker/connections.go
@@ -75,8 +75,12 @@
 	return false
 }
 
-// cutLine matches the daemon's log line on a request that it began to read and cut.
-var cutLine = regexp.MustCompile(`"connection closed with a request unanswered".* sinceFirstByteMillis=(\d+)`)
+// cutLine matches the daemon's log line on a request that it began to read and cut, and
+// unansweredLine the one at its end on the number of such requests.
+var (
+	cutLine        = regexp.MustCompile(`"connection closed with a request unanswered".* sinceFirstByteMillis=(\d+)`)
+	unansweredLine = regexp.MustCompile(`"requests of callers ended without a response"`)
+)
 
 // outputWatcher copies the output of a process to its log and reports cut requests. Only the
 // daemon knows what it has read, and a line shows that it ran: no stop or kill excuses it.
@@ -97,19 +101,29 @@
 			return w.log.Write(p)
 		}
 		w.partial = rest
-		match := cutLine.FindSubmatch(line)
-		if match == nil {
-			continue
-		}
-		millis, _ := strconv.ParseInt(string(match[1]), 10, 64)
-		if !w.faults.wasSuspendedSince(time.Now().Add(-time.Duration(millis) * time.Millisecond)) {
+		if since, ok := cutSince(line); ok && !w.faults.wasSuspendedSince(since) {
 			w.soak.reportViolation("process %d: %s", w.index, line)
 		}
 	}
 }
 
-// connectionCaller sends requests to one process on connections of its own: on each until
-// it is closed, or one on each.
+// cutSince returns the time from which a suspension excuses the requests that a line reports
+// as cut; ok is false if it reports none.
+func cutSince(line []byte) (since time.Time, ok bool) {
+	if unansweredLine.Match(line) {
+		return time.Time{}, true
+	}
+	match := cutLine.FindSubmatch(line)
+	if match == nil {
+		return time.Time{}, false
+	}
+	millis, _ := strconv.ParseInt(string(match[1]), 10, 64)
+	return time.Now().Add(-time.Duration(millis) * time.Millisecond), true
+}
+
+// connectionCaller sends requests to one process on connections of its own: on each for as
+// long as the process announces to keep it, or one on each. It does not look at an idle
+// connection: a request that finds it closed would cross the close on a longer network.
 type connectionCaller struct {
 	soak    *Soak
 	process *process
--- a/internal/soaker/connections_test.go
+++ b/internal/soaker/connections_test.go
@@ -10,8 +10,12 @@
 	"github.com/matryer/is"
 )
 
-// cutOutput is what a daemon logs on a cut request.
-const cutOutput = `I1208 01:58:23.166299   11117 supervisor.go:218] "connection closed with a request unanswered" cause="idleLimit" remote="127.0.0.1:58818" state="idle" bytes=106 sinceFirstByteMillis=150 sinceLastByteMillis=15 stopping=false` + "\n"
+// cutOutput is what a daemon logs on a cut request, and unansweredOutput what it logs at its
+// end if there were such requests.
+const (
+	cutOutput        = `E1208 01:58:23.166299   11117 cut.go:18] "connection closed with a request unanswered" err="broken pipe" cause="limit" remote="127.0.0.1:58818" active=false bytes=106 written=0 sinceFirstByteMillis=150 sinceLastByteMillis=15 stopping=false` + "\n"
+	unansweredOutput = `E1208 01:58:25.101020   11117 ledger.go:101] "requests of callers ended without a response" name="vm-0" begun=30 open=0 answered=28 refused=1 callerLeft=0 cut=1` + "\n"
+)
 
 // TestLoggedCutsAreViolations covers the check on what a process logs: lines in parts, and
 // processes that were suspended while or shortly before the request was read.
@@ -42,6 +46,27 @@
 	is.Equal(log.String(), written.String())
 }
 
+// TestLoggedSumsOfCutsAreViolations covers the check on the sum that a process logs at its
+// end: it may contain requests that any suspension of the process has cut.
+func TestLoggedSumsOfCutsAreViolations(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	var s Soak
+	faults := &faultRecord{}
+	w := &outputWatcher{soak: &s, log: io.Discard, faults: faults}
+	write := func(text string) {
+		_, err := io.WriteString(w, text)
+		is.NoErr(err)
+	}
+	write(`I1208 01:58:25.101020   11117 ledger.go:104] "all requests of callers ended" name="vm-0" begun=1` + "\n")
+	is.Equal(len(s.report.Violations), 0)
+	write(unansweredOutput)
+	is.Equal(len(s.report.Violations), 1)
+	faults.suspended, faults.resumed = []time.Time{time.Now().Add(-time.Hour)}, []time.Time{time.Now().Add(-time.Hour)}
+	write(unansweredOutput)
+	is.Equal(len(s.report.Violations), 1)
+}
+
 // TestCutAnswersAreViolations covers the check on what a caller with a connection of its own
 // receives.
 func TestCutAnswersAreViolations(t *testing.T) {
