Soak: a request that is lost to the close of a kept connection is a violation

Cause: callers with connections of their own watched for the close of an idle connection and sent nothing after it, so that the soak did not see closes that cross a request on a longer network. Change: these callers use a connection for as long as the process announces to keep it, or else for four fifths of the smallest idle limit that may be in force, and do not look at it meanwhile. A request that gets no answer in this time is a violation unless the process was killed or suspended. The report counts the requests on kept connections and the lost ones. The case of a whole answer on a connection that is then closed unannounced is now a violation in TestCutAnswersAreViolations; a whole answer that announces the close is not. Measured: TestCutAnswersAreViolations and TestIdleLimitsThatMayBeInForce pass.

--- a/internal/soaker/connections.go
+++ b/internal/soaker/connections.go
@@ -28,6 +28,8 @@
 	answerLimit = 10 * time.Second
 	// suspensionEffect is the time after a suspension during which it excuses a cut.
 	suspensionEffect = time.Second
+	// configurationAge is above the age of any configuration that a process may apply.
+	configurationAge = 15 * time.Second
 )
 
 // faultRecord records what the soak did to one run of a process.
@@ -162,9 +164,17 @@
 	net.Conn
 	reader *bufio.Reader
 	faults *faultRecord
+	// answeredAt is when the last response was received, and keptUntil when the connection
+	// may be closed after it; both are zero until then.
+	answeredAt, keptUntil time.Time
+	// sentAt is when the first bytes of the last request had been sent.
+	sentAt time.Time
 }
 
-// use sends requests on a connection until it is closed, or one.
+// isKept reports whether the last request was sent on a connection that was to be kept.
+func (c *callerConn) isKept() bool { return c.sentAt.Before(c.keptUntil) }
+
+// use sends requests on a connection until it is closed or its time is over, or one.
 func (c *connectionCaller) use(ctx context.Context, dialed net.Conn) {
 	conn := &callerConn{Conn: dialed, reader: bufio.NewReader(dialed), faults: c.soak.faultsOf(c.process)}
 	defer func() { _ = conn.Close() }()
@@ -174,17 +184,26 @@
 		path := paths[c.sent%len(paths)]
 		c.sent++
 		isReusable := c.request(ctx, conn, path)
-		open = c.keeps && isReusable && conn.isOpenAfter(c.idlePause())
+		open = c.keeps && isReusable && c.awaitNext(ctx, conn)
 	}
 }
 
-// idlePause returns the pause before a connection is used again: short, or up to four
-// fifths of the idle limit.
-func (c *connectionCaller) idlePause() time.Duration {
-	if c.rng.IntN(2) == 0 {
-		return c.randomPause()
+// awaitNext waits before a connection is used again, and reports whether it still may be.
+func (c *connectionCaller) awaitNext(ctx context.Context, conn *callerConn) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(c.idlePause(conn.keptUntil.Sub(conn.answeredAt))):
+		return time.Now().Before(conn.keptUntil)
+	}
+}
+
+// idlePause returns the pause before a connection is used again: short, or of any length.
+func (c *connectionCaller) idlePause(lifetime time.Duration) time.Duration {
+	if lifetime <= shortPause || c.rng.IntN(2) == 0 {
+		return min(lifetime, c.randomPause())
 	}
-	return randomDuration(c.rng, shortPause, c.soak.idleLimit()*4/5)
+	return randomDuration(c.rng, shortPause, lifetime)
 }
 
 // isOpenAfter waits and reports whether the connection is still open.
@@ -195,8 +214,9 @@
 }
 
 // request sends a request, checks the answer and reports whether the connection can be used
-// for another. An answer that begins and does not end is a violation, and so is a daemon
-// that keeps the connection and sends none.
+// for another. An answer that begins and does not end is a violation, and so are a daemon
+// that keeps the connection and sends none, and one that closes a connection earlier than
+// announced.
 func (c *connectionCaller) request(ctx context.Context, conn *callerConn, path string) bool {
 	id, method := c.soak.nextRequestID(), methodOf(path)
 	r, err := http.NewRequestWithContext(ctx, method, "http://"+stager.TierHost+path+"x", nil)
@@ -217,23 +237,56 @@
 	if ctx.Err() != nil {
 		return false
 	}
-	isCut := err != nil && (begun || errors.Is(err, os.ErrDeadlineExceeded))
-	if isCut && !conn.faults.wasKilled() && !conn.faults.wasSuspendedSince(started) {
-		c.soak.reportViolation("%s: process %d: no whole answer after %v, begun: %t, %v", id, c.process.index, time.Since(started), begun, err)
+	isKept, since := conn.isKept(), started
+	if isKept {
+		since = conn.answeredAt
+		c.soak.recordKept(err)
+	}
+	isCut := err != nil && (begun || isKept || errors.Is(err, os.ErrDeadlineExceeded))
+	if isCut && !conn.faults.wasKilled() && !conn.faults.wasSuspendedSince(since) {
+		c.soak.reportViolation("%s: process %d: no whole answer after %v, begun: %t, kept: %t, idle for %v before, %v", id, c.process.index, time.Since(started), begun, isKept, started.Sub(since), err)
 	}
 	c.soak.recordReply(id, path, reply, err)
+	if isReusable {
+		conn.answeredAt = time.Now()
+		conn.keptUntil = conn.answeredAt.Add(c.soak.lifetimeAfter(reply))
+	}
 	return isReusable
 }
 
+// recordKept counts a request on a kept connection, which got a whole answer if err is nil.
+func (s *Soak) recordKept(err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.report.Kept++
+	if err != nil {
+		s.report.KeptLost++
+	}
+}
+
+// lifetimeAfter returns how long a connection is kept after a reply. Without an announcement
+// this is four fifths of the idle limit, which callers of the users' platform rely on.
+func (s *Soak) lifetimeAfter(reply stager.Reply) time.Duration {
+	if lifetime, ok := reply.KeptFor(); ok {
+		return lifetime
+	}
+	return s.smallestIdleLimit() * 4 / 5
+}
+
 // send sends a request, half of the time in two parts. Its errors show as missing answers.
-func (c *connectionCaller) send(conn net.Conn, r *http.Request) {
+func (c *connectionCaller) send(conn *callerConn, r *http.Request) {
 	var head bytes.Buffer
 	_ = r.Write(&head)
+	first := head.Len()
 	if c.rng.IntN(2) == 0 {
-		_, _ = conn.Write(head.Next(1 + c.rng.IntN(head.Len()-1)))
+		first = 1 + c.rng.IntN(head.Len()-1)
+	}
+	_, _ = conn.Write(head.Next(first))
+	conn.sentAt = time.Now()
+	if head.Len() > 0 {
 		time.Sleep(c.randomPause())
+		_, _ = conn.Write(head.Bytes())
 	}
-	_, _ = conn.Write(head.Bytes())
 }
 
 // readReply reads a whole response and reports whether the connection remains open after it.
--- a/internal/soaker/connections_test.go
+++ b/internal/soaker/connections_test.go
@@ -4,10 +4,13 @@
 	"bytes"
 	"io"
 	"net"
+	"net/http"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/fuchsiastile/fuchsiastile/internal/stager"
 )
 
 // cutOutput is what a daemon logs on a cut request, and unansweredOutput what it logs at its
@@ -67,45 +70,87 @@
 	is.Equal(len(s.report.Violations), 1)
 }
 
+// Answers of a daemon. The caller may use the connection for up to a second after
+// announcedAnswer, and for up to four fifths of the idle limit after keptAnswer.
+const (
+	closingAnswer   = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 2\r\n\r\nno"
+	announcedAnswer = "HTTP/1.1 503 Service Unavailable\r\nKeep-Alive: timeout=1\r\nContent-Length: 2\r\n\r\nno"
+	endingAnswer    = "HTTP/1.1 503 Service Unavailable\r\nKeep-Alive: timeout=0\r\nContent-Length: 2\r\n\r\nno"
+	keptAnswer      = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 2\r\n\r\nno"
+	cutAnswer       = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 2\r\n\r\nn"
+)
+
+// answerConnection answers the first request of a connection and closes it, and returns the
+// caller's end.
+func answerConnection(t *testing.T, answer string) net.Conn {
+	t.Helper()
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		// The caller closes first, so that no reset discards the answer.
+		go func() { _, _ = io.WriteString(conn, answer); _ = conn.(*net.TCPConn).CloseWrite() }()
+		_, _ = io.Copy(io.Discard, conn)
+		_ = conn.Close()
+	}()
+	conn, err := net.Dial("tcp", l.Addr().String())
+	is.NoErr(err)
+	return conn
+}
+
 // TestCutAnswersAreViolations covers the check on what a caller with a connection of its own
 // receives.
 func TestCutAnswersAreViolations(t *testing.T) {
 	t.Parallel()
 	for name, test := range map[string]struct {
-		answer     string
-		kill       bool
-		violations int
+		answer                               string
+		kill, suspend                        bool
+		requests, kept, keptLost, violations int
 	}{
-		"whole":            {"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 2\r\n\r\nno", false, 0},
-		"head cut":         {"HTTP/1.1 503 Service", false, 1},
-		"body cut":         {"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 2\r\n\r\nn", false, 1},
-		"body cut, killed": {"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 2\r\n\r\nn", true, 0},
-		"none":             {"", false, 0},
+		"whole":                              {answer: closingAnswer, requests: 1},
+		"head cut":                           {answer: "HTTP/1.1 503 Service", requests: 1, violations: 1},
+		"body cut":                           {answer: cutAnswer, requests: 1, violations: 1},
+		"body cut, killed":                   {answer: cutAnswer, kill: true, requests: 1},
+		"none":                               {answer: "", requests: 1},
+		"closed earlier than announced":      {answer: announcedAnswer, requests: 2, kept: 1, keptLost: 1, violations: 1},
+		"closed earlier, killed":             {answer: announcedAnswer, kill: true, requests: 2, kept: 1, keptLost: 1},
+		"closed earlier, suspended":          {answer: announcedAnswer, suspend: true, requests: 2, kept: 1, keptLost: 1},
+		"closed as announced":                {answer: endingAnswer, requests: 1},
+		"closed earlier than the idle limit": {answer: keptAnswer, requests: 2, kept: 1, keptLost: 1, violations: 1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			is.NoErr(err)
-			defer func() { _ = l.Close() }()
-			go func() {
-				conn, err := l.Accept()
-				if err != nil {
-					return
-				}
-				// The caller closes first, so that no reset discards the answer.
-				go func() { _, _ = io.WriteString(conn, test.answer); _ = conn.(*net.TCPConn).CloseWrite() }()
-				_, _ = io.Copy(io.Discard, conn)
-				_ = conn.Close()
-			}()
 			p := &process{faults: &faultRecord{killed: test.kill}}
-			s := &Soak{processes: []*process{p}, onceStatus: map[string]int{}}
-			conn, err := net.Dial("tcp", l.Addr().String())
-			is.NoErr(err)
+			if test.suspend {
+				p.faults.recordSuspension()
+			}
+			s := &Soak{processes: []*process{p}, onceStatus: map[string]int{}, tier: &stager.Tier{}}
+			s.tier.StoredConfiguration.Limits.IdleTimeout = time.Second
 			caller := s.newConnectionCaller(2) // on the path of single searchers
-			caller.use(t.Context(), conn)
-			is.Equal(s.report.Requests, 1)
+			caller.use(t.Context(), answerConnection(t, test.answer))
+			is.Equal(s.report.Requests, test.requests)
+			is.Equal(s.report.Kept, test.kept)
+			is.Equal(s.report.KeptLost, test.keptLost)
 			is.Equal(len(s.report.Violations), test.violations)
 		})
 	}
 }
+
+// TestIdleLimitsThatMayBeInForce covers the limit that callers keep to without an
+// announcement: a process may still have a configuration that was replaced a while ago.
+func TestIdleLimitsThatMayBeInForce(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := &Soak{tier: &stager.Tier{}}
+	s.tier.StoredConfiguration.Limits.IdleTimeout = 10 * time.Second
+	is.Equal(s.lifetimeAfter(stager.Reply{}), 8*time.Second)
+	s.replacedLimits = []replacedLimit{{time.Second, time.Now().Add(-configurationAge)}, {5 * time.Second, time.Now()}, {20 * time.Second, time.Now()}}
+	is.Equal(s.lifetimeAfter(stager.Reply{}), 4*time.Second)
+	is.Equal(s.lifetimeAfter(stager.Reply{Header: http.Header{"Keep-Alive": {"timeout=2"}}}), 2*time.Second)
+}
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -57,6 +57,9 @@
 type Report struct {
 	// Requests is the number of requests sent; the others divide it by outcome.
 	Requests, Answered, Refused, Failed int
+	// Kept is the number of requests on connections that were to be kept until then, and
+	// KeptLost that of those without a whole answer.
+	Kept, KeptLost int
 	// Violations describes every violated invariant.
 	Violations []string
 }
@@ -88,6 +91,8 @@
 
 	// configurationMu orders changes of the configuration.
 	configurationMu sync.Mutex
+	// replacedLimits holds the idle limits of all earlier configurations.
+	replacedLimits []replacedLimit
 
 	mu        sync.Mutex
 	processes []*process
@@ -96,6 +101,12 @@
 	onceStatus map[string]int
 }
 
+// replacedLimit is an idle limit and the time at which another configuration replaced it.
+type replacedLimit struct {
+	idleTimeout time.Duration
+	at          time.Time
+}
+
 // The streams of random numbers of a seed. Those of the connection callers follow the last.
 const (
 	faultStream = iota + 1
@@ -317,6 +328,7 @@
 	s.configurationMu.Lock()
 	defer s.configurationMu.Unlock()
 	next := s.tier.StoredConfiguration
+	s.replacedLimits = append(s.replacedLimits, replacedLimit{next.Limits.IdleTimeout, time.Now()})
 	next.Version += 2
 	next.Limits.IdleTimeout = idleTimeout
 	s.logf("configuration: version %d with an idle limit of %v", next.Version, idleTimeout)
@@ -337,11 +349,17 @@
 	s.tier.Apply(s.tier.StoredConfiguration)
 }
 
-// idleLimit returns the idle limit of the current configuration.
-func (s *Soak) idleLimit() time.Duration {
+// smallestIdleLimit returns the smallest idle limit that a process may have in force.
+func (s *Soak) smallestIdleLimit() time.Duration {
 	s.configurationMu.Lock()
 	defer s.configurationMu.Unlock()
-	return s.tier.StoredConfiguration.Limits.IdleTimeout
+	smallest := s.tier.StoredConfiguration.Limits.IdleTimeout
+	for _, replaced := range s.replacedLimits {
+		if time.Since(replaced.at) < configurationAge {
+			smallest = min(smallest, replaced.idleTimeout)
+		}
+	}
+	return smallest
 }
 
 // checkChange points a route at another service and requires that every daemon applies
--- a/internal/soaker/soaker_test.go
+++ b/internal/soaker/soaker_test.go
@@ -33,6 +33,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
+			t.Logf("%d requests on kept connections, %d lost", report.Kept, report.KeptLost)
 			for _, text := range report.Violations {
 				t.Error(text)
 			}
