Soak: processes with a processor quota, also while they stop

Cause: no run of the soak had processes that are short of processor time, in which the margins of a stop are wall time. Change: each round has a phase in which three processes run for 27 ms of each 100 ms for two to six seconds, two of them while they are terminated, and the idle limit changes. It has a stream of random numbers of its own, so that the other faults of a seed stay the same. These pauses excuse no cut; one that lasts for longer than a period because the machine is busy counts as a suspension.

--- a/cmd/standin/soak.go
+++ b/cmd/standin/soak.go
@@ -23,8 +23,8 @@
 
 func (*soakCommand) Usage() string {
 	return "soak -program FILE [-seed N] [-seeds N] [-rounds N] [-daemons N] [-directory DIR]\n\n" +
-		"Starts daemons as separate processes on loopback, kills, stops and freezes them,\nchanges the configuration, injects connection faults, and checks what callers and\n" +
-		"searchers observe and which requests daemons log as unanswered. Exits with status 1\nif an invariant was violated. Settings and logs are kept in the directory.\n\n"
+		"Starts daemons as separate processes on loopback, kills, stops and freezes them,\nlimits their processor time, changes the configuration, injects connection faults, and\n" +
+		"checks what callers and searchers observe and which requests daemons log as\nunanswered. Exits with status 1 if an invariant was violated. Settings and logs are kept in the directory.\n\n"
 }
 
 func (c *soakCommand) SetFlags(f *flag.FlagSet) {
--- a/internal/soaker/connections.go
+++ b/internal/soaker/connections.go
@@ -59,6 +59,13 @@
 	r.resumed = append(r.resumed, time.Now())
 }
 
+// recordPause records a suspension that is about to end.
+func (r *faultRecord) recordPause(suspended, resumed time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.suspended, r.resumed = append(r.suspended, suspended), append(r.resumed, resumed)
+}
+
 func (r *faultRecord) wasKilled() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/soaker/faults.go
+++ b/internal/soaker/faults.go
@@ -69,6 +69,11 @@
 		return
 	}
 	defer p.release()
+	s.terminate(p)
+}
+
+// terminate sends SIGTERM to a process that is claimed and restarts it.
+func (s *Soak) terminate(p *process) {
 	s.logf("process %d: sending SIGTERM", p.index)
 	sent := time.Now()
 	s.signal(p, syscall.SIGTERM)
@@ -87,7 +92,7 @@
 	type change struct{ pause, idleTimeout time.Duration }
 	changes := make([]change, 3+s.changeRng.IntN(4))
 	for n := range changes {
-		changes[n] = change{randomDuration(s.changeRng, 50*time.Millisecond, 1500*time.Millisecond), s.randomIdleTimeout()}
+		changes[n] = change{randomDuration(s.changeRng, 50*time.Millisecond, 1500*time.Millisecond), randomIdleTimeout(s.changeRng)}
 	}
 	return func() {
 		var wait sync.WaitGroup
@@ -106,9 +111,9 @@
 }
 
 // randomIdleTimeout returns an idle limit for the next configuration.
-func (s *Soak) randomIdleTimeout() time.Duration {
+func randomIdleTimeout(rng *rand.Rand) time.Duration {
 	limits := []time.Duration{time.Second, 2 * time.Second, 4 * time.Second, 15 * time.Second}
-	return limits[s.changeRng.IntN(len(limits))]
+	return limits[rng.IntN(len(limits))]
 }
 
 // stopTimeout is the shutdown time that the settings grant a process plus an allowance
@@ -217,7 +222,7 @@
 // change and writes again what was lost.
 func (s *Soak) restoreStore() func() {
 	lost, away, rewrite := s.randomDuration(300*time.Millisecond, 3*time.Second), s.randomDuration(50*time.Millisecond, 2*time.Second), s.randomDuration(0, rewriteTime)
-	idleTimeout := s.randomIdleTimeout()
+	idleTimeout := randomIdleTimeout(s.changeRng)
 	return func() {
 		if !s.restoring.CompareAndSwap(false, true) {
 			return
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -81,7 +81,9 @@
 	rng    *rand.Rand
 	// changeRng determines changes of the configuration and the stops beside them, so that
 	// the other faults of a seed stay the same.
-	changeRng       *rand.Rand
+	changeRng *rand.Rand
+	// quotaRng determines the processor quotas and what happens meanwhile.
+	quotaRng        *rand.Rand
 	tier            *stager.Tier
 	storeProxy      *interposer.Proxy
 	searcherProxies []*interposer.Proxy
@@ -107,17 +109,20 @@
 	at          time.Time
 }
 
-// The streams of random numbers of a seed. Those of the connection callers follow the last.
+// The streams of random numbers of a seed. Those of the connection callers follow
+// firstCallerStream.
 const (
-	faultStream = iota + 1
-	changeStream
-	firstCallerStream
+	faultStream       = 1
+	changeStream      = 2
+	firstCallerStream = 3
+	quotaStream       = 1 << 32
 )
 
 // Run runs a soak test with the given seed and returns its report.
 func Run(ctx context.Context, config Config) (Report, error) {
 	s := &Soak{
 		config: config, rng: rand.New(rand.NewPCG(config.Seed, faultStream)), changeRng: rand.New(rand.NewPCG(config.Seed, changeStream)),
+		quotaRng:   rand.New(rand.NewPCG(config.Seed, quotaStream)),
 		onceStatus: map[string]int{}, startTime: time.Now(),
 	}
 	defer s.close()
@@ -139,6 +144,8 @@
 	for round := range config.Rounds {
 		s.logf("round %d: injecting faults", round)
 		s.injectFaults(ctx)
+		s.logf("round %d: limiting processor time", round)
+		s.limitProcessorTime(ctx)
 		s.logf("round %d: faults ended, verifying recovery", round)
 		s.verifyRecovery(ctx)
 	}
@@ -366,7 +373,7 @@
 // the change within propagationBound.
 func (s *Soak) checkChange(ctx context.Context) {
 	service := stager.ShardServiceName(s.rng.IntN(s.tier.Config.Shards))
-	next := s.applyNext(service, s.randomIdleTimeout())
+	next := s.applyNext(service, randomIdleTimeout(s.changeRng))
 	applied := time.Now()
 	time.Sleep(propagationBound)
 	for _, p := range s.processes {
