Client: searches and requests for tickets survive the close of a kept connection

Cause: a stopping daemon of the project's own interface closes idle kept connections at the end of its notice. net/http's client does not send a POST again that crosses the close, so that pkg/caller returned an error for requests that can be repeated without harm. Change: searches and requests for tickets are marked as idempotent for net/http. Requests with a ticket are not: they end as unknown, and their caller repeats them with the ticket.

--- a/pkg/caller/client.go
+++ b/pkg/caller/client.go
@@ -38,8 +38,9 @@
 	http *http.Client
 }
 
-// New returns a client for a base URL such as http://192.0.2.1:7000. The HTTP
-// client must not retry requests on its own.
+// New returns a client for a base URL such as http://192.0.2.1:7000. The HTTP client must not
+// retry requests on its own, except that net/http's sends searches and requests for tickets
+// again whose kept connection was closed before a response began.
 func New(base string, client *http.Client) *Client {
 	return &Client{base: sling.New().Base(base), http: client}
 }
@@ -71,7 +72,7 @@
 	if err != nil {
 		return "", failer.Wrap(op, KindNotRun, err)
 	}
-	response, err := c.http.Do(request.WithContext(ctx))
+	response, err := c.http.Do(asIdempotent(request).WithContext(ctx))
 	if err != nil {
 		return "", failer.Wrap(op, KindNotRun, err)
 	}
@@ -89,6 +90,13 @@
 	return reply.Ticket, nil
 }
 
+// asIdempotent lets net/http send a request again if a kept connection is closed before a
+// response begins. The header itself is not sent.
+func asIdempotent(request *http.Request) *http.Request {
+	request.Header["Idempotency-Key"] = nil
+	return request
+}
+
 // send sends a request and decodes the response.
 func (c *Client) send(ctx context.Context, s *sling.Sling, r Request) (Answer, error) {
 	const op = "send request"
@@ -100,6 +108,9 @@
 	if err != nil {
 		return Answer{Outcome: OutcomeNotRun}, failer.Wrap(op, KindNotRun, err)
 	}
+	if r.Ticket == "" {
+		request = asIdempotent(request)
+	}
 	response, err := c.http.Do(request.WithContext(ctx))
 	if err != nil {
 		return Answer{Outcome: OutcomeUnknown}, failer.Wrap(op, KindUnknown, err)
