--- a/cmd/standin/soak.go
+++ b/cmd/standin/soak.go
@@ -23,8 +23,8 @@
 
 func (*soakCommand) Usage() string {
 	return "soak -program FILE [-seed N] [-seeds N] [-rounds N] [-daemons N] [-directory DIR]\n\n" +
-		"Starts daemons as separate processes on loopback, kills, stops and freezes them,\nchanges the configuration, injects connection faults, and checks what callers and\n" +
-		"searchers observe and which requests daemons log as unanswered. Exits with status 1\nif an invariant was violated. Settings and logs are kept in the directory.\n\n"
+		"Starts daemons as separate processes on loopback, kills, stops and freezes them,\nlimits their processor time, changes the configuration, injects connection faults, and\n" +
+		"checks what callers and searchers observe and which requests daemons log as\nunanswered. Exits with status 1 if an invariant was violated. Settings and logs are kept in the directory.\n\n"
 }
 
 func (c *soakCommand) SetFlags(f *flag.FlagSet) {
@@ -54,8 +54,8 @@
 		if err != nil {
 			return fail(fmt.Errorf("seed %d: %w", config.Seed, err))
 		}
-		fmt.Printf("seed %d: %d requests, %d answered, %d refused, %d failed, %d invariant violations, logs in %s\n",
-			config.Seed, report.Requests, report.Answered, report.Refused, report.Failed, len(report.Violations), config.Directory)
+		fmt.Printf("seed %d: %d requests, %d answered, %d refused, %d failed, %d on kept connections of which %d were lost, %d invariant violations, logs in %s\n",
+			config.Seed, report.Requests, report.Answered, report.Refused, report.Failed, report.Kept, report.KeptLost, len(report.Violations), config.Directory)
 		for _, violation := range report.Violations {
 			fmt.Println("  violated:", violation)
 		}
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -57,6 +57,9 @@
 type Report struct {
 	// Requests is the number of requests sent; the others divide it by outcome.
 	Requests, Answered, Refused, Failed int
+	// Kept is the number of requests on connections that were to be kept until then, and
+	// KeptLost that of those without a whole answer.
+	Kept, KeptLost int
 	// Violations describes every violated invariant.
 	Violations []string
 }
@@ -78,7 +81,9 @@
 	rng    *rand.Rand
 	// changeRng determines changes of the configuration and the stops beside them, so that
 	// the other faults of a seed stay the same.
-	changeRng       *rand.Rand
+	changeRng *rand.Rand
+	// quotaRng determines the processor quotas and what happens meanwhile.
+	quotaRng        *rand.Rand
 	tier            *stager.Tier
 	storeProxy      *interposer.Proxy
 	searcherProxies []*interposer.Proxy
@@ -88,6 +93,8 @@
 
 	// configurationMu orders changes of the configuration.
 	configurationMu sync.Mutex
+	// replacedLimits holds the idle limits of all earlier configurations.
+	replacedLimits []replacedLimit
 
 	mu        sync.Mutex
 	processes []*process
@@ -96,17 +103,26 @@
 	onceStatus map[string]int
 }
 
-// The streams of random numbers of a seed. Those of the connection callers follow the last.
+// replacedLimit is an idle limit and the time at which another configuration replaced it.
+type replacedLimit struct {
+	idleTimeout time.Duration
+	at          time.Time
+}
+
+// The streams of random numbers of a seed. Those of the connection callers follow
+// firstCallerStream.
 const (
-	faultStream = iota + 1
-	changeStream
-	firstCallerStream
+	faultStream       = 1
+	changeStream      = 2
+	firstCallerStream = 3
+	quotaStream       = 1 << 32
 )
 
 // Run runs a soak test with the given seed and returns its report.
 func Run(ctx context.Context, config Config) (Report, error) {
 	s := &Soak{
 		config: config, rng: rand.New(rand.NewPCG(config.Seed, faultStream)), changeRng: rand.New(rand.NewPCG(config.Seed, changeStream)),
+		quotaRng:   rand.New(rand.NewPCG(config.Seed, quotaStream)),
 		onceStatus: map[string]int{}, startTime: time.Now(),
 	}
 	defer s.close()
@@ -128,6 +144,8 @@
 	for round := range config.Rounds {
 		s.logf("round %d: injecting faults", round)
 		s.injectFaults(ctx)
+		s.logf("round %d: limiting processor time", round)
+		s.limitProcessorTime(ctx)
 		s.logf("round %d: faults ended, verifying recovery", round)
 		s.verifyRecovery(ctx)
 	}
@@ -317,6 +335,7 @@
 	s.configurationMu.Lock()
 	defer s.configurationMu.Unlock()
 	next := s.tier.StoredConfiguration
+	s.replacedLimits = append(s.replacedLimits, replacedLimit{next.Limits.IdleTimeout, time.Now()})
 	next.Version += 2
 	next.Limits.IdleTimeout = idleTimeout
 	s.logf("configuration: version %d with an idle limit of %v", next.Version, idleTimeout)
@@ -337,18 +356,24 @@
 	s.tier.Apply(s.tier.StoredConfiguration)
 }
 
-// idleLimit returns the idle limit of the current configuration.
-func (s *Soak) idleLimit() time.Duration {
+// smallestIdleLimit returns the smallest idle limit that a process may have in force.
+func (s *Soak) smallestIdleLimit() time.Duration {
 	s.configurationMu.Lock()
 	defer s.configurationMu.Unlock()
-	return s.tier.StoredConfiguration.Limits.IdleTimeout
+	smallest := s.tier.StoredConfiguration.Limits.IdleTimeout
+	for _, replaced := range s.replacedLimits {
+		if time.Since(replaced.at) < configurationAge {
+			smallest = min(smallest, replaced.idleTimeout)
+		}
+	}
+	return smallest
 }
 
 // checkChange points a route at another service and requires that every daemon applies
 // the change within propagationBound.
 func (s *Soak) checkChange(ctx context.Context) {
 	service := stager.ShardServiceName(s.rng.IntN(s.tier.Config.Shards))
-	next := s.applyNext(service, s.randomIdleTimeout())
+	next := s.applyNext(service, randomIdleTimeout(s.changeRng))
 	applied := time.Now()
 	time.Sleep(propagationBound)
 	for _, p := range s.processes {
