A search that its caller leaves is not reported as not run

Cause: when the request's context ended, the driver cancelled the attempts and left the query as it was, without the attempts in flight. Its answer then said that nothing had run. A caller that ends its sending direction ends the context, too, and may read on.

Change: the query ends as its deadline would end it, and counts what it cancels. A caller that leaves still says nothing about a searcher's speed.

--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -166,7 +166,6 @@
 		Perform:   r.perform,
 		Expired:   r.daemon.expired,
 		Deliver:   r.deliver,
-		CancelAll: r.cancelAll,
 	}.Run(ctx)
 }
 
@@ -305,12 +304,3 @@
 	}
 	d.linker.Cancel(gateway, attempts)
 }
-
-// cancelAll cancels all attempts in flight after the caller has disconnected.
-func (r *queryRunner) cancelAll() {
-	attempts := make([]uint64, 0, len(r.inFlight))
-	for attempt := range r.inFlight {
-		attempts = append(attempts, attempt)
-	}
-	r.cancel(attempts)
-}
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -21,12 +21,14 @@
 	Deliver func(R) bool
 	// Expired is closed when the query must end before its deadline; nil if it never must.
 	Expired <-chan struct{}
-	// CancelAll cancels all requests in flight.
-	CancelAll func()
+	// OnCancelled is called if the context is cancelled, before the actions that end the
+	// query; nil if nothing depends on it.
+	OnCancelled func()
 }
 
-// Run blocks until the query has ended or ctx is cancelled, as when the caller
-// disconnects.
+// Run blocks until the query has ended. If ctx is cancelled, as when the caller
+// disconnects, the query ends as its deadline would end it, so that its answer considers the
+// requests in flight.
 func (d Driver[R]) Run(ctx context.Context) {
 	wake := make(chan struct{}, 1)
 	signalWake := func(time.Time) {
@@ -54,8 +56,10 @@
 		case <-d.Expired:
 			done = d.Perform(d.Query.Expire(time.Now()))
 		case <-ctx.Done():
-			d.CancelAll()
-			done = true
+			if d.OnCancelled != nil {
+				d.OnCancelled()
+			}
+			done = d.Perform(d.Query.Expire(time.Now()))
 		}
 	}
 }
--- a/internal/responder/runner.go
+++ b/internal/responder/runner.go
@@ -105,7 +105,8 @@
 		Perform:   run.apply,
 		Deliver:   run.handleResult,
 		Expired:   r.config.Expired,
-		CancelAll: run.cancelAll,
+
+		OnCancelled: func() { run.callerLeft = true },
 	}.Run(run.ctx)
 	return run.response()
 }
@@ -261,7 +262,8 @@
 	return planner.Searcher{}, false
 }
 
-// cancel cancels an attempt because another one was faster or the query has ended.
+// cancel cancels an attempt because another one was faster or the query has ended. A caller
+// that disconnects says nothing about the searcher.
 func (run *runner) cancel(id uint64) {
 	attempt, ok := run.pending[id]
 	if !ok {
@@ -272,6 +274,9 @@
 	attempt.cancel()
 	p, now := run.responder.picker, time.Now()
 	p.Release(attempt.searcher.Key())
+	if run.callerLeft {
+		return
+	}
 	p.RecordAbandoned(now, attempt.searcher.Key(), now.Sub(attempt.sentAt))
 	run.observeAbandoned(attempt, now.Sub(attempt.sentAt))
 	run.trail.attemptEnded(attempt, now, "outrun")
@@ -303,13 +308,3 @@
 func isUnsent(err error) bool {
 	return failer.Is(err, exchanger.KindDial) || failer.Is(err, exchanger.KindConnectionLimit) || failer.Is(err, exchanger.KindUnsent)
 }
-
-// cancelAll cancels all attempts after the caller has disconnected.
-func (run *runner) cancelAll() {
-	run.callerLeft = true
-	for id, attempt := range run.pending {
-		delete(run.pending, id)
-		attempt.cancel()
-		run.responder.picker.Release(attempt.searcher.Key())
-	}
-}
