A caller that ends its sending direction gets an explicit response

Cause: when the request's context ended, ServeHTTP returned without a response, for which net/http sends an empty 200. Any error of reading from the connection ends the context, and the end of the caller's sending direction is one: the daemon cannot know whether the caller still reads.

Change: the response is always written: the whole answer if the shards have it, 503 if the request certainly has not run, 502 otherwise. On a connection that has broken the write fails, and the request counts as left. The searchers' work is cancelled as before.

--- a/internal/responder/record.go
+++ b/internal/responder/record.go
@@ -9,7 +9,7 @@
 )
 
 // record updates the metrics for a finished request and logs it. A request whose
-// caller disconnected has status 0.
+// caller left has status 0.
 func (r *Responder) record(c *callerRequest, resp response) {
 	elapsed := time.Since(c.arrived)
 	route, rank := "none", -1
--- a/internal/responder/responder.go
+++ b/internal/responder/responder.go
@@ -244,11 +244,7 @@
 	if r.config.Stop() != nil {
 		w.Header().Set("Connection", "close")
 	}
-	if resp.callerLeft {
-		// The caller has disconnected, so no response can be sent.
-		r.record(c, resp)
-		return
-	}
+	// A caller that left may still read, and net/http would send it an empty success.
 	resp.write(w, c.id)
 	r.record(c, resp)
 }
--- a/internal/responder/response.go
+++ b/internal/responder/response.go
@@ -26,7 +26,8 @@
 	// extra is the number of hedges and retries.
 	extra int
 	trail trail
-	// callerLeft is set when the caller disconnected before the response.
+	// callerLeft is set when the caller ended its sending direction, or the connection,
+	// before the response.
 	callerLeft bool
 }
 
@@ -87,6 +88,8 @@
 		resp.reason = "the searcher failed"
 	case !time.Now().Before(run.call.deadline):
 		resp.status, resp.reason = http.StatusGatewayTimeout, "the time was up"
+	case run.callerLeft:
+		resp.status, resp.reason = http.StatusBadGateway, "the caller left"
 	default:
 		resp.status, resp.reason = http.StatusBadGateway, "too few searchers answered"
 	}
--- a/internal/stager/tier_connections_test.go
+++ b/internal/stager/tier_connections_test.go
@@ -232,6 +232,18 @@
 	return "http://" + address.String()
 }
 
+// readMetrics returns the metrics of a daemon of startMeasuredDaemon.
+func readMetrics(t *testing.T, url string) string {
+	t.Helper()
+	is := is.New(t)
+	response, err := http.Get(url)
+	is.NoErr(err)
+	defer func() { _ = response.Body.Close() }()
+	metrics, err := io.ReadAll(response.Body)
+	is.NoErr(err)
+	return string(metrics)
+}
+
 // TestTierLoweredIdleLimitCutsNoRequest guards against requests whose connection the daemon
 // closes after it has read a part of them, while a lower idle limit takes effect.
 func TestTierLoweredIdleLimitCutsNoRequest(t *testing.T) {
@@ -271,13 +283,9 @@
 	for _, r := range requests {
 		checkParted(t, tier, r)
 	}
-	response, err := http.Get(url)
-	is.NoErr(err)
-	defer func() { _ = response.Body.Close() }()
-	metrics, err := io.ReadAll(response.Body)
-	is.NoErr(err)
-	is.True(strings.Contains(string(metrics), "expiredConnectionsTotal")) // the limit took effect
-	for line := range strings.Lines(string(metrics)) {
+	metrics := readMetrics(t, url)
+	is.True(strings.Contains(metrics, "expiredConnectionsTotal")) // the limit took effect
+	for line := range strings.Lines(metrics) {
 		if strings.HasPrefix(line, "cutRequestsTotal") && !strings.Contains(line, string(acceptor.CauseCaller)) && !strings.HasSuffix(line, " 0\n") {
 			t.Error(line)
 		}
