A request whose body stalls is refused in time

Cause: nothing limited how long the rest of a body may take, in readBody as well as in net/http, which reads what is left of a body before a response that keeps the connection. Such a request got no answer for as long as its caller waited, whatever its route's timeout.

Change: reading the body fails at the time at which the request must be answered, by the caller's deadline and the route's timeout. The request has not run and is refused with 408; other responses are sent then. net/http ends the limit at the end of the body.

--- /dev/null
+++ b/internal/responder/body.go
@@ -0,0 +1,48 @@
+package responder
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"time"
+)
+
+// hasBody reports whether a request has a body, empty or not.
+func hasBody(request *http.Request) bool { return request.Body != nil && request.Body != http.NoBody }
+
+// limitBodyTime makes reading the body of a request fail at a time, if it has one. net/http
+// also reads what is left of it before a response after which the connection stays open. It
+// ends the limit at the end of the body; without a body, the limit would end the request.
+func limitBodyTime(w http.ResponseWriter, request *http.Request, until time.Time) {
+	if hasBody(request) {
+		_ = http.NewResponseController(w).SetReadDeadline(until)
+	}
+}
+
+// readBody reads the request's body. It returns an error response if the body is
+// larger than limit or incomplete; a limit of 0 means none.
+func (c *callerRequest) readBody(w http.ResponseWriter, request *http.Request, limit int64) *response {
+	if !hasBody(request) {
+		return nil
+	}
+	body := request.Body
+	if limit > 0 {
+		body = http.MaxBytesReader(w, body, limit)
+	}
+	var err error
+	c.body, err = io.ReadAll(body)
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return newErrorResponse(http.StatusRequestEntityTooLarge, "the body is too large")
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		// The rest of the body may still arrive, so that no other request can follow.
+		w.Header().Set("Connection", "close")
+		return newErrorResponse(http.StatusRequestTimeout, "the body did not arrive in time")
+	case err != nil:
+		return newErrorResponse(http.StatusBadRequest, "the body did not arrive whole")
+	default:
+		return nil
+	}
+}
--- a/internal/responder/responder.go
+++ b/internal/responder/responder.go
@@ -5,8 +5,6 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -263,6 +261,7 @@
 	if !strings.HasPrefix(c.target, "/") {
 		c.target = request.URL.RequestURI()
 	}
+	limitBodyTime(w, request, c.arrived.Add(c.timeout(request.Header)))
 	state := r.awaitState(request.Context(), c.arrived)
 	if !state.Ready() {
 		return c, newErrorResponse(http.StatusServiceUnavailable, "no configuration is known yet").withRetryAfter(startupRetryAfter)
@@ -282,6 +281,7 @@
 	if limits.HeaderBytes > 0 && headerBytes(request.Header) > limits.HeaderBytes {
 		return c, newErrorResponse(http.StatusRequestHeaderFieldsTooLarge, "the headers are too large")
 	}
+	limitBodyTime(w, request, c.arrived.Add(c.timeout(request.Header)))
 	if errorResponse := c.readBody(w, request, limits.BodyBytes); errorResponse != nil {
 		return c, errorResponse
 	}
@@ -320,34 +320,11 @@
 	return size
 }
 
-// readBody reads the request's body. It returns an error response if the body is
-// larger than limit or incomplete; a limit of 0 means none.
-func (c *callerRequest) readBody(w http.ResponseWriter, request *http.Request, limit int64) *response {
-	if request.Body == nil || request.Body == http.NoBody {
-		return nil
-	}
-	body := request.Body
-	if limit > 0 {
-		body = http.MaxBytesReader(w, body, limit)
-	}
-	var err error
-	c.body, err = io.ReadAll(body)
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return newErrorResponse(http.StatusRequestEntityTooLarge, "the body is too large")
-	case err != nil:
-		return newErrorResponse(http.StatusBadRequest, "the body did not arrive whole")
-	default:
-		return nil
-	}
-}
-
-// timeout returns how long the request may take: the route's timeout or the
-// default one, shortened to the caller's if that is less.
+// timeout returns how long the request may take: the route's timeout or, if there is none,
+// the default one, shortened to the caller's if that is less.
 func (c *callerRequest) timeout(h http.Header) time.Duration {
 	timeout := defaultTimeout
-	if c.route.Timeout > 0 {
+	if c.route != nil && c.route.Timeout > 0 {
 		timeout = c.route.Timeout
 	}
 	if callerTimeout, ok := platform.RequestTimeout(h); ok {
--- a/internal/stager/halfclose_test.go
+++ b/internal/stager/halfclose_test.go
@@ -34,7 +34,7 @@
 		return nil
 	}
 	time.Sleep(wait)
-	if err := errors.Join(leave(conn.(*net.TCPConn)), conn.SetDeadline(time.Now().Add(30*time.Second))); err != nil {
+	if err := errors.Join(conn.SetDeadline(time.Now().Add(30*time.Second)), leave(conn.(*net.TCPConn))); err != nil {
 		if !errors.Is(err, net.ErrClosed) {
 			t.Error(err)
 		}
