A stop refuses the requests whose bodies have not arrived

Cause: at the end of a stop's grace period the requests in progress end with whatever answer they have, but not those whose body was being read: the process ended and cut them.

Change: reading a body ends then, too, and the request is refused with 408, since it has not run.

Measured: own callers on real sockets that send a part of a body, with a length and in chunks, on the three paths, to a daemon that is stopped, with timeouts beyond its grace period.

--- a/internal/responder/body.go
+++ b/internal/responder/body.go
@@ -20,9 +20,27 @@
 	}
 }
 
-// readBody reads the request's body. It returns an error response if the body is
-// larger than limit or incomplete; a limit of 0 means none.
-func (c *callerRequest) readBody(w http.ResponseWriter, request *http.Request, limit int64) *response {
+// interruptBody makes reading the body of a request fail once expired is closed, until the
+// returned function is called.
+func interruptBody(w http.ResponseWriter, expired <-chan struct{}) (end func()) {
+	ended, done := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(done)
+		select {
+		case <-expired:
+			_ = http.NewResponseController(w).SetReadDeadline(time.Now())
+		case <-ended:
+		}
+	}()
+	return func() {
+		close(ended)
+		<-done
+	}
+}
+
+// readBody reads the request's body, until expired is closed. It returns an error response if
+// the body is larger than limit or incomplete; a limit of 0 means none.
+func (c *callerRequest) readBody(w http.ResponseWriter, request *http.Request, limit int64, expired <-chan struct{}) *response {
 	if !hasBody(request) {
 		return nil
 	}
@@ -31,7 +49,9 @@
 		body = http.MaxBytesReader(w, body, limit)
 	}
 	var err error
+	end := interruptBody(w, expired)
 	c.body, err = io.ReadAll(body)
+	end()
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
--- a/internal/responder/responder.go
+++ b/internal/responder/responder.go
@@ -282,7 +282,7 @@
 		return c, newErrorResponse(http.StatusRequestHeaderFieldsTooLarge, "the headers are too large")
 	}
 	limitBodyTime(w, request, c.arrived.Add(c.timeout(request.Header)))
-	if errorResponse := c.readBody(w, request, limits.BodyBytes); errorResponse != nil {
+	if errorResponse := c.readBody(w, request, limits.BodyBytes, r.config.Expired); errorResponse != nil {
 		return c, errorResponse
 	}
 	if stop := r.config.Stop(); stop != nil && !stop.accepts(time.Now(), route.Objective) {
--- a/internal/stager/tier_stall_test.go
+++ b/internal/stager/tier_stall_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"github.com/fuchsiastile/fuchsiastile/internal/stager"
 	"github.com/fuchsiastile/fuchsiastile/platform"
 )
@@ -53,3 +55,28 @@
 	}
 	group.Wait()
 }
+
+// TestTierStopRefusesStalledBodies guards against requests that a stopping daemon cuts because
+// the rest of their body has not arrived when it exits.
+func TestTierStopRefusesStalledBodies(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	tier := newTier(t, nil)
+	withLongTimeouts(t, tier)
+	stopped := tier.Daemons[0]
+	var group sync.WaitGroup
+	for _, path := range []string{stager.SinglePath, stager.AtMostOncePath, stager.ScatterGatherPath} {
+		for _, request := range stalledRequests(path, nextID(), 10*time.Second) {
+			group.Go(func() {
+				reply := leaveAfter(t, stopped.Settings.CallerAddress, request, 0, func(*net.TCPConn) error { return nil })
+				if reply == nil || reply.Status != http.StatusRequestTimeout {
+					t.Errorf("%s: no refusal: %+v", path, reply)
+				}
+			})
+		}
+	}
+	time.Sleep(500 * time.Millisecond)
+	stopped.Stop()
+	group.Wait()
+	is.NoErr(<-stopped.RunErr)
+}
