--- a/internal/acceptor/announcement.go
+++ b/internal/acceptor/announcement.go
@@ -34,7 +34,7 @@
 // time, whatever the limits are by then.
 func Announce(ctx context.Context, h http.Header, a Announcement) {
 	c, ok := ctx.Value(connKey{}).(*Conn)
-	if !ok {
+	if !ok || h.Get("Connection") == "close" {
 		return
 	}
 	reusable := a.reusable()
