A stop accepts the connections that wait as its listener closes

Callers saw: requests on new connections that got neither an answer nor a refusal, but a reset, at the end of a stop's notice. Cause: closing a listener resets the connections that the system has established and that the process has not accepted, also those with a whole request. A process that is short of processor time at that moment has not accepted what came in a part of a tenth of a second. Nothing counts these requests, since the process never read them. Change: before the listener is closed, what waits is accepted, and the HTTP server gets it from Accept and serves it.

--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -80,6 +80,9 @@
 	conns map[*Conn]struct{}
 	// accepting is the number of calls of Accept in progress.
 	accepting int
+	// waiting holds those of conns that Accept has yet to return. It is empty until stopped
+	// is set.
+	waiting []*Conn
 	// stopped is set once the listener has been closed.
 	stopped bool
 }
@@ -103,25 +106,55 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.accepting--
-	if err != nil {
-		if a.stopped {
-			return nil, http.ErrServerClosed
-		}
+	switch {
+	case err == nil:
+		return a.track(accepted), nil
+	case len(a.waiting) > 0:
+		c := a.waiting[0]
+		a.waiting = a.waiting[1:]
+		return c, nil
+	case a.stopped:
+		return nil, http.ErrServerClosed
+	default:
 		return nil, err
 	}
+}
+
+// track returns the connection for an accepted one. The caller holds mu.
+func (a *Acceptor) track(accepted net.Conn) *Conn {
 	c := &Conn{Conn: accepted, acceptor: a, isNew: true, phaseSince: time.Now()}
 	a.conns[c] = struct{}{}
-	return c, nil
+	return c
 }
 
-// Close implements net.Listener. It leaves the accepted connections open.
+// Close implements net.Listener. It leaves the connections open that Accept has returned.
 func (a *Acceptor) Close() error {
 	a.mu.Lock()
 	a.stopped = true
+	waiting := a.waiting
+	a.waiting = nil
 	a.mu.Unlock()
+	for _, c := range waiting {
+		_ = c.Close()
+	}
 	return a.listener.Close()
 }
 
+// stopAccepting closes the listener. Accept goes on to return the connections that wait for
+// it: the system would reset them, also those whose callers have sent a request.
+func (a *Acceptor) stopAccepting() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.stopped {
+		return
+	}
+	a.stopped = true
+	for _, accepted := range acceptWaiting(a.listener) {
+		a.waiting = append(a.waiting, a.track(accepted))
+	}
+	_ = a.listener.Close()
+}
+
 // connKey is the key of a connection in the contexts of its requests.
 type connKey struct{}
 
@@ -164,13 +197,13 @@
 	return expired
 }
 
-// Drain closes the listener and waits until all connections are closed. Until answerBy every
-// request that has begun to arrive is served; later ones are not read any more. Connections
-// stay open for as long as their last response announced. Responses must ask the callers to
-// close their connections. If ctx ends first, Drain returns its error
-// and leaves the remaining connections open.
+// Drain closes the listener and waits until all connections are closed, also those that
+// waited to be accepted. Until answerBy every request that has begun to arrive is served;
+// later ones are not read any more. Connections stay open for as long as their last response
+// announced. Responses must ask the callers to close their connections. If ctx ends first,
+// Drain returns its error and leaves the remaining connections open.
 func (a *Acceptor) Drain(ctx context.Context, head time.Duration, answerBy time.Time) error {
-	_ = a.Close()
+	a.stopAccepting()
 	for !a.isDrained() {
 		if ctx.Err() != nil {
 			return ctx.Err()
--- a/internal/acceptor/acceptor_test.go
+++ b/internal/acceptor/acceptor_test.go
@@ -593,3 +593,36 @@
 		is.True(got == 0 || got+arrivalMargin <= min(test.idle, test.notice))
 	}
 }
+
+// TestWaitingConnectionsAreAccepted guards against resetting connections that wait to be
+// accepted, some with a request, as a server stops.
+func TestWaitingConnectionsAreAccepted(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	a := New(l, func(Cut) {})
+	var callers []net.Conn
+	for range 3 {
+		caller, err := net.Dial("tcp", a.Addr().String())
+		is.NoErr(err)
+		defer func() { _ = caller.Close() }()
+		_, err = io.WriteString(caller, request)
+		is.NoErr(err)
+		callers = append(callers, caller)
+	}
+	a.stopAccepting()
+	for range callers {
+		conn, err := a.Accept()
+		is.NoErr(err)
+		read := make([]byte, 100)
+		n, err := conn.Read(read)
+		is.NoErr(err)
+		is.Equal(string(read[:n]), request)
+		is.True(!a.isDrained())
+		is.NoErr(conn.Close())
+	}
+	_, err = a.Accept()
+	is.Equal(err, http.ErrServerClosed)
+	is.True(a.isDrained())
+}
