An attempt goes to the searcher that was picked

Cause: send looked the picked searcher up again, in the fleet of the query's state. Had it not found it, it would have reported a result for an attempt that was not pending, which handleResult ignores: the query would have waited for it until its deadline. The current code cannot get there, since the candidates come from the same state; callers saw nothing.

Change: what was picked is kept with the pick, and send cannot fail.

--- a/internal/responder/limits.go
+++ b/internal/responder/limits.go
@@ -10,6 +10,7 @@
 
 	"github.com/fuchsiastile/fuchsiastile/internal/gatherer"
 	"github.com/fuchsiastile/fuchsiastile/internal/limiter"
+	"github.com/fuchsiastile/fuchsiastile/internal/planner"
 	"github.com/fuchsiastile/fuchsiastile/platform"
 )
 
@@ -57,10 +58,11 @@
 	}
 }
 
-// pick is a searcher that the query picked: the time and the permit of its rate limit.
+// pick is a searcher that the query picked, the time and the permit of its rate limit.
 type pick struct {
-	at     time.Time
-	permit limiter.Permit
+	searcher planner.Searcher
+	at       time.Time
+	permit   limiter.Permit
 }
 
 // permitTaker returns a function that reports whether the rate limit of a searcher allows
--- a/internal/responder/runner.go
+++ b/internal/responder/runner.go
@@ -5,6 +5,7 @@
 	"math"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/fuchsiastile/fuchsiastile/internal/driver"
@@ -177,7 +178,14 @@
 	}
 	rule := declarer.TrafficRule{Locality: declarer.LocalityAny}
 	now := time.Now()
-	return run.responder.picker.PickAllowed(now, rule, usable, excluded, run.permitTaker(now))
+	key, ok := run.responder.picker.PickAllowed(now, rule, usable, excluded, run.permitTaker(now))
+	if !ok {
+		return "", false
+	}
+	picked := run.picks[key]
+	picked.searcher = usable[slices.IndexFunc(usable, func(s planner.Searcher) bool { return s.Key() == key })]
+	run.picks[key] = picked
+	return key, true
 }
 
 // spendBudget reports whether the retry budget, which all daemons share, allows
@@ -212,11 +220,7 @@
 // send starts an attempt; its result arrives on the results channel.
 func (run *runner) send(send gatherer.Send) {
 	r := run.responder
-	searcher, ok := run.findSearcher(send.Shard, send.Searcher)
-	if !ok {
-		go run.report(result{attemptID: send.Attempt, err: failer.New("send", exchanger.KindUnsent, "the searcher has been removed")})
-		return
-	}
+	searcher := run.picks[send.Searcher].searcher
 	r.config.Metrics.shardRequests.Inc()
 	if send.Extra {
 		r.config.Metrics.extraRequests.Inc()
@@ -251,17 +255,6 @@
 	}
 }
 
-// findSearcher returns the searcher of a shard with the given key, and whether there
-// is one.
-func (run *runner) findSearcher(shard, key string) (planner.Searcher, bool) {
-	for _, s := range run.state.Fleet.Searchers(shard) {
-		if s.Key() == key {
-			return s, true
-		}
-	}
-	return planner.Searcher{}, false
-}
-
 // cancel cancels an attempt because another one was faster or the query has ended. A caller
 // that disconnects says nothing about the searcher.
 func (run *runner) cancel(id uint64) {
