Soak: requests that are lost on new connections are counted

Cause: the kernel resets connections that a stopping daemon has not accepted. The daemon reads nothing from them, so that neither its counts nor the violations show the requests. Change: the report counts the first requests of connections that end without an answer from a process that was neither killed nor suspended. They are no violation: the daemon promises nothing for what it has not read. Measured: TestCutAnswersAreViolations covers the count.

--- a/cmd/standin/soak.go
+++ b/cmd/standin/soak.go
@@ -54,8 +54,8 @@
 		if err != nil {
 			return fail(fmt.Errorf("seed %d: %w", config.Seed, err))
 		}
-		fmt.Printf("seed %d: %d requests, %d answered, %d refused, %d failed, %d on kept connections of which %d were lost, %d invariant violations, logs in %s\n",
-			config.Seed, report.Requests, report.Answered, report.Refused, report.Failed, report.Kept, report.KeptLost, len(report.Violations), config.Directory)
+		fmt.Printf("seed %d: %d requests, %d answered, %d refused, %d failed, %d on kept connections of which %d were lost, %d lost on new ones, %d invariant violations, logs in %s\n",
+			config.Seed, report.Requests, report.Answered, report.Refused, report.Failed, report.Kept, report.KeptLost, report.NewLost, len(report.Violations), config.Directory)
 		for _, violation := range report.Violations {
 			fmt.Println("  violated:", violation)
 		}
--- a/internal/soaker/connections.go
+++ b/internal/soaker/connections.go
@@ -249,10 +249,14 @@
 		since = conn.answeredAt
 		c.soak.recordKept(err)
 	}
+	isExcused := conn.faults.wasKilled() || conn.faults.wasSuspendedSince(since)
 	isCut := err != nil && (begun || isKept || errors.Is(err, os.ErrDeadlineExceeded))
-	if isCut && !conn.faults.wasKilled() && !conn.faults.wasSuspendedSince(since) {
+	if isCut && !isExcused {
 		c.soak.reportViolation("%s: process %d: no whole answer after %v, begun: %t, kept: %t, idle for %v before, %v", id, c.process.index, time.Since(started), begun, isKept, started.Sub(since), err)
 	}
+	if err != nil && !begun && conn.answeredAt.IsZero() && !isExcused {
+		c.soak.recordNewLost()
+	}
 	c.soak.recordReply(id, path, reply, err)
 	if isReusable {
 		conn.answeredAt = time.Now()
@@ -271,6 +275,13 @@
 	}
 }
 
+// recordNewLost counts the first request of a connection that was closed without an answer.
+func (s *Soak) recordNewLost() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.report.NewLost++
+}
+
 // lifetimeAfter returns how long a connection is kept after a reply. Without an announcement
 // this is four fifths of the idle limit, which callers of the users' platform rely on.
 func (s *Soak) lifetimeAfter(reply stager.Reply) time.Duration {
--- a/internal/soaker/connections_test.go
+++ b/internal/soaker/connections_test.go
@@ -108,15 +108,16 @@
 func TestCutAnswersAreViolations(t *testing.T) {
 	t.Parallel()
 	for name, test := range map[string]struct {
-		answer                               string
-		kill, suspend                        bool
-		requests, kept, keptLost, violations int
+		answer                                        string
+		kill, suspend                                 bool
+		requests, kept, keptLost, newLost, violations int
 	}{
 		"whole":                              {answer: closingAnswer, requests: 1},
 		"head cut":                           {answer: "HTTP/1.1 503 Service", requests: 1, violations: 1},
 		"body cut":                           {answer: cutAnswer, requests: 1, violations: 1},
 		"body cut, killed":                   {answer: cutAnswer, kill: true, requests: 1},
-		"none":                               {answer: "", requests: 1},
+		"none":                               {answer: "", requests: 1, newLost: 1},
+		"none, killed":                       {answer: "", kill: true, requests: 1},
 		"closed earlier than announced":      {answer: announcedAnswer, requests: 2, kept: 1, keptLost: 1, violations: 1},
 		"closed earlier, killed":             {answer: announcedAnswer, kill: true, requests: 2, kept: 1, keptLost: 1},
 		"closed earlier, suspended":          {answer: announcedAnswer, suspend: true, requests: 2, kept: 1, keptLost: 1},
@@ -137,6 +138,7 @@
 			is.Equal(s.report.Requests, test.requests)
 			is.Equal(s.report.Kept, test.kept)
 			is.Equal(s.report.KeptLost, test.keptLost)
+			is.Equal(s.report.NewLost, test.newLost)
 			is.Equal(len(s.report.Violations), test.violations)
 		})
 	}
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -60,6 +60,9 @@
 	// Kept is the number of requests on connections that were to be kept until then, and
 	// KeptLost that of those without a whole answer.
 	Kept, KeptLost int
+	// NewLost is the number of requests that were the first of their connections and got no
+	// answer, from processes that were neither killed nor suspended. They have not been read.
+	NewLost int
 	// Violations describes every violated invariant.
 	Violations []string
 }
--- a/internal/soaker/soaker_test.go
+++ b/internal/soaker/soaker_test.go
@@ -33,7 +33,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			t.Logf("%d requests on kept connections, %d lost", report.Kept, report.KeptLost)
+			t.Logf("%d requests on kept connections, %d lost; %d lost on new ones", report.Kept, report.KeptLost, report.NewLost)
 			for _, text := range report.Violations {
 				t.Error(text)
 			}
