The daemon receives signals before it opens anything

Cause: until signal.Notify the default action of SIGHUP, which means only that the settings file has changed, ended the process; and a reload signal that waited in the only place of the channel made Notify drop a stop signal, so that a process would have been killed at the end of its grace period without having stopped. Change: the front command asks for signals first, and stop and reload signals have a channel each. The time before main (about 4 ms without load) is still open.

--- a/cmd/fuchsiastile/front.go
+++ b/cmd/fuchsiastile/front.go
@@ -48,6 +48,11 @@
 	if err != nil {
 		return usageError("front: -without: " + err.Error())
 	}
+	// Each kind has a channel of its own, so that none is lost. They are received before
+	// anything is opened, because the default action of SIGHUP ends the process.
+	stops, reloads := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(stops, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(reloads, syscall.SIGHUP)
 	log := logger.New(os.Stdout)
 	defer log.Close(logFlushTimeout)
 	klog.LogToStderr(false)
@@ -63,15 +68,14 @@
 		klog.ErrorS(err, "failed to start daemon")
 		return fail(err)
 	}
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	go func() {
-		for received := range signals {
-			if received == syscall.SIGHUP {
+		for {
+			select {
+			case <-reloads:
 				s.Reload()
-				continue
+			case <-stops:
+				s.Stop()
 			}
-			s.Stop()
 		}
 	}()
 	if err := s.Run(); err != nil {
