A close after a response leaves no unread bytes

Change: before a connection is closed after a whole response, what has arrived behind the request is read and discarded, without waiting. Connections that are closed without a response are left as they were: a request that crosses their close stays unread. Not covered: bytes that arrive after the close.

--- a/internal/acceptor/conn.go
+++ b/internal/acceptor/conn.go
@@ -32,6 +32,10 @@
 	requestTimeout = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 	// refusalTimeout limits how long its sending may take.
 	refusalTimeout = 100 * time.Millisecond
+	// discardSize is how much of the bytes that nothing is going to answer is read at once,
+	// at most maxDiscards times.
+	discardSize = 4 << 10
+	maxDiscards = 16
 )
 
 // pastDeadline makes reads fail at once.
@@ -126,6 +130,15 @@
 	return max(0, n)
 }
 
+// discardAvailable reads what has arrived behind a request whose response ends the
+// connection. Closing it with unread bytes would reset it, and the part of the response that
+// the caller has not received would be lost. The caller holds mu.
+func (c *Conn) discardAvailable() {
+	buffer := make([]byte, discardSize)
+	for rest := maxDiscards; rest > 0 && c.readAvailable(buffer) == len(buffer); rest-- {
+	}
+}
+
 // refuse answers a request whose head has taken too long, and makes Write discard the HTTP
 // server's own answer to it, which does not say that the request has not run. The caller
 // holds mu.
@@ -321,6 +334,9 @@
 	}
 	outcome := c.endRequest()
 	isCut := outcome == OutcomeCut || outcome == OutcomeCallerLeft
+	if outcome == OutcomeAnswered || outcome == OutcomeRefused {
+		c.discardAvailable()
+	}
 	c.closed = true
 	c.mu.Unlock()
 	if isCut {
