The body of a refused request is read to its end on closing connections

Change: after such a refusal has been sent, the responder reads the rest of the body, up to the 256 KiB that net/http reads on other connections.

--- a/internal/responder/responder.go
+++ b/internal/responder/responder.go
@@ -59,6 +59,9 @@
 	// startupRetryAfter is the Retry-After time sent while the daemon has no
 	// configuration; the caller may retry at this daemon or at another.
 	startupRetryAfter = 300 * time.Millisecond
+	// maxDiscardedBytes is how much of the body of a refused request is read; net/http reads
+	// as much on connections that stay open.
+	maxDiscardedBytes = 256 << 10
 	// unavailableRetryAfter is the Retry-After time sent if no searcher had capacity
 	// for the request.
 	unavailableRetryAfter = 100 * time.Millisecond
@@ -251,6 +254,9 @@
 	}
 	resp.write(w, c.id)
 	r.record(c, resp)
+	if errorResponse != nil && request.Close {
+		discardBody(w, request)
+	}
 }
 
 // readRequest reads a request and matches it to a route. It returns an error
@@ -347,6 +353,16 @@
 	}
 }
 
+// discardBody sends the response and reads the rest of the request's body, up to
+// maxDiscardedBytes. net/http does not if the caller asked for the end of the connection,
+// and closing it with unread bytes would reset it.
+func discardBody(w http.ResponseWriter, request *http.Request) {
+	if err := http.NewResponseController(w).Flush(); err != nil || request.Body == nil {
+		return
+	}
+	_, _ = io.CopyN(io.Discard, request.Body, maxDiscardedBytes)
+}
+
 // timeout returns how long the request may take: the route's timeout or the
 // default one, shortened to the caller's if that is less.
 func (c *callerRequest) timeout(h http.Header) time.Duration {
