--- a/internal/responder/body.go
+++ b/internal/responder/body.go
@@ -66,3 +66,14 @@
 		return nil
 	}
 }
+
+// discardBody sends the response and reads the rest of the request's body, up to
+// maxDiscardedBytes and until expired is closed. net/http does not if the caller asked for
+// the end of the connection, and closing it with unread bytes would reset it.
+func discardBody(w http.ResponseWriter, request *http.Request, expired <-chan struct{}) {
+	if err := http.NewResponseController(w).Flush(); err != nil || request.Body == nil {
+		return
+	}
+	defer interruptBody(w, expired)()
+	_, _ = io.CopyN(io.Discard, request.Body, maxDiscardedBytes)
+}
--- a/internal/responder/responder.go
+++ b/internal/responder/responder.go
@@ -57,6 +57,9 @@
 	// startupRetryAfter is the Retry-After time sent while the daemon has no
 	// configuration; the caller may retry at this daemon or at another.
 	startupRetryAfter = 300 * time.Millisecond
+	// maxDiscardedBytes is how much of the body of a refused request is read; net/http reads
+	// as much on connections that stay open.
+	maxDiscardedBytes = 256 << 10
 	// unavailableRetryAfter is the Retry-After time sent if no searcher had capacity
 	// for the request.
 	unavailableRetryAfter = 100 * time.Millisecond
@@ -245,6 +248,9 @@
 	// A caller that left may still read, and net/http would send it an empty success.
 	resp.write(w, c.id)
 	r.record(c, resp)
+	if errorResponse != nil && request.Close {
+		discardBody(w, request, r.config.Expired)
+	}
 }
 
 // readRequest reads a request and matches it to a route. It returns an error
