A connection keeps the limits under which its last response was sent

Cause: after a response that announced nothing, because the idle limit is too low for a whole second, a configuration that lowers the limit further still closed the connection while its caller kept to the older limit. Change: every response keeps its connection open for the idle limit that is in force when it is sent, but not longer than a stop's notice.

--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -60,12 +60,12 @@
 type Limits struct {
 	// New is the time from the beginning of a connection to the first byte of a request.
 	New time.Duration
-	// Idle is the time between a response and the first byte of the next request. A
-	// connection whose last response announced more keeps that.
+	// Idle is the time between a response and the first byte of the next request. It is
+	// longer on connections whose last response was sent under a higher limit.
 	Idle time.Duration
 	// Head is the time from the first byte of a request to the end of its head.
 	Head time.Duration
-	// Forced makes Idle apply to connections that announced more, too.
+	// Forced makes Idle apply to those, too.
 	Forced bool
 }
 
@@ -199,9 +199,9 @@
 
 // Drain closes the listener and waits until all connections are closed, also those that
 // waited to be accepted. Until answerBy every request that has begun to arrive is served;
-// later ones are not read any more. Connections stay open for as long as their last response
-// announced. Responses must ask the callers to close their connections. If ctx ends first,
-// Drain returns its error and leaves the remaining connections open.
+// later ones are not read any more. Connections stay open for as long as the announcement of
+// their last response says. Responses must ask the callers to close their connections. If ctx
+// ends first, Drain returns its error and leaves the remaining connections open.
 func (a *Acceptor) Drain(ctx context.Context, head time.Duration, answerBy time.Time) error {
 	a.stopAccepting()
 	for !a.isDrained() {
--- a/internal/acceptor/acceptor_test.go
+++ b/internal/acceptor/acceptor_test.go
@@ -573,7 +573,8 @@
 	s.is.Equal(s.Sweep(time.Now().Add(100*time.Millisecond), lowered), 1)
 	s.is.True(silent.isClosed(closeWait))
 	s.is.True(!announced.isClosed(stayWait))
-	s.is.Equal(s.Sweep(time.Now().Add(1600*time.Millisecond), lowered), 1)
+	s.is.Equal(s.Sweep(time.Now().Add(1500*time.Millisecond), lowered), 0)
+	s.is.Equal(s.Sweep(time.Now().Add(2*time.Second), lowered), 1)
 	s.is.True(announced.isClosed(closeWait))
 }
 
@@ -588,9 +589,10 @@
 		{time.Minute, 700 * time.Millisecond, 0},
 		{0, time.Minute, 0},
 	} {
-		got := Announcement{Idle: test.idle, Notice: test.notice}.reusable()
-		is.Equal(got, test.want)
-		is.True(got == 0 || got+arrivalMargin <= min(test.idle, test.notice))
+		a := Announcement{Idle: test.idle, Notice: test.notice}
+		is.Equal(a.reusable(), test.want)
+		is.True(a.reusable() == 0 || a.reusable()+arrivalMargin <= a.kept())
+		is.Equal(a.kept(), min(test.idle, test.notice))
 	}
 }
 
--- a/internal/acceptor/announcement.go
+++ b/internal/acceptor/announcement.go
@@ -7,8 +7,8 @@
 	"time"
 )
 
-// arrivalMargin is added to the time that a response announces before its connection is
-// closed: the caller counts it from when the response arrives, and its request has to arrive,
+// arrivalMargin is the least time by which a connection stays open longer than its response
+// announces: the caller counts from when the response arrives, and its request has to arrive,
 // too.
 const arrivalMargin = 500 * time.Millisecond
 
@@ -23,28 +23,30 @@
 	Closing bool
 }
 
+// kept returns how long a connection stays open after a response, whatever the limits are by
+// then.
+func (a Announcement) kept() time.Duration { return max(0, min(a.Idle, a.Notice)) }
+
 // reusable returns how long a connection may be reused, in whole seconds; zero announces
 // nothing.
 func (a Announcement) reusable() time.Duration {
-	return max(0, (min(a.Idle, a.Notice) - arrivalMargin).Truncate(time.Second))
+	return max(0, (a.kept() - arrivalMargin).Truncate(time.Second))
 }
 
 // Announce adds to the header of a response whether and for how long the connection of its
-// request may be used again. ctx is the request's context. The connection stays open for that
-// time, whatever the limits are by then.
+// request may be used again, unless the header says that it may not. ctx is the request's
+// context.
 func Announce(ctx context.Context, h http.Header, a Announcement) {
 	c, ok := ctx.Value(connKey{}).(*Conn)
 	if !ok || h.Get("Connection") == "close" {
 		return
 	}
-	reusable := a.reusable()
-	switch {
-	case a.Closing:
+	if a.Closing {
 		h.Set("Connection", "close")
 		return
-	case reusable > 0:
+	}
+	if reusable := a.reusable(); reusable > 0 {
 		h.Set("Keep-Alive", "timeout="+strconv.Itoa(int(reusable/time.Second)))
-		reusable += arrivalMargin
 	}
-	c.setAnnounced(reusable)
+	c.setKept(a.kept())
 }
--- a/internal/acceptor/conn.go
+++ b/internal/acceptor/conn.go
@@ -50,9 +50,9 @@
 	phase phase
 	// phaseSince is when the phase began.
 	phaseSince time.Time
-	// announced is how long the connection stays open after its last response, as that one
-	// said; zero if it said nothing.
-	announced time.Duration
+	// kept is how long the connection stays open after its last response at least, by the
+	// limits that were in force when that was sent.
+	kept time.Duration
 	// isNew is set until the HTTP server has the head of the first request.
 	isNew bool
 	// deadline is the read deadline that the HTTP server has set last.
@@ -269,14 +269,14 @@
 	case limits.Forced:
 		return limits.Idle
 	default:
-		return max(limits.Idle, c.announced)
+		return max(limits.Idle, c.kept)
 	}
 }
 
-func (c *Conn) setAnnounced(announced time.Duration) {
+func (c *Conn) setKept(kept time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.announced = announced
+	c.kept = kept
 }
 
 // SetReadDeadline implements net.Conn.
