The quota of the stop test is processor time

Cause: the test let the process run for 5 ms of each tenth of a second by the clock; on a busy machine the process gets less than that, and one of five runs failed on repaired code too (51 lost, killed at 6.02 s). Change: the process is stopped once it has used its quota of processor time, read from its clock: 2 ms, a thirteenth of what the users' VMs have, with 150 requests, from 50 ms before SIGTERM to the end.

--- a/internal/stager/tier_process_test.go
+++ b/internal/stager/tier_process_test.go
@@ -14,6 +14,7 @@
 	"syscall"
 	"testing"
 	"time"
+	"unsafe"
 
 	"github.com/matryer/is"
 
@@ -89,24 +90,38 @@
 	return bytes.Join(lines[max(0, len(lines)-n):], nil)
 }
 
-// useQuota lets the process run for the given part of each tenth of a second, until it ends.
-func (p *daemonProcess) useQuota(share time.Duration) {
+// useQuota lets the process run in each tenth of a second until it has used the given
+// processor time, as on a core with a quota, until the process ends.
+func (p *daemonProcess) useQuota(quota time.Duration) {
 	const period = 100 * time.Millisecond
 	for start := time.Now(); ; start = start.Add(period) {
-		for _, step := range []struct {
-			signal syscall.Signal
-			until  time.Time
-		}{{syscall.SIGCONT, start.Add(share)}, {syscall.SIGSTOP, start.Add(period)}} {
-			if p.command.Process.Signal(step.signal) != nil {
-				return
-			}
-			select {
-			case <-p.exited:
-				return
-			case <-time.After(time.Until(step.until)):
-			}
+		if p.command.Process.Signal(syscall.SIGCONT) != nil {
+			return
 		}
+		for used := p.processorTime(); p.processorTime()-used < quota && time.Since(start) < period; {
+			time.Sleep(quota / 50)
+		}
+		if p.command.Process.Signal(syscall.SIGSTOP) != nil {
+			return
+		}
+		select {
+		case <-p.exited:
+			return
+		case <-time.After(time.Until(start.Add(period))):
+		}
+	}
+}
+
+// processorTime returns the processor time that the process has used, 0 after its end.
+func (p *daemonProcess) processorTime() time.Duration {
+	// The clock of another process has the ID that clock_getcpuclockid computes.
+	const schedulerClock = 2
+	var used syscall.Timespec
+	clock := uintptr(^p.command.Process.Pid)<<3 | schedulerClock
+	if _, _, errno := syscall.Syscall(syscall.SYS_CLOCK_GETTIME, clock, uintptr(unsafe.Pointer(&used)), 0); errno != 0 {
+		return 0
 	}
+	return time.Duration(used.Nano())
 }
 
 // killAt waits for the end of the process, which it kills at a point in time.
--- a/internal/stager/tier_quota_test.go
+++ b/internal/stager/tier_quota_test.go
@@ -29,7 +29,7 @@
 	}
 	p := startDaemonProcess(t, tier)
 	time.Sleep(500 * time.Millisecond)
-	const callers, sendingTime = 200, 2 * time.Second
+	const callers, sendingTime = 150, 2 * time.Second
 	requests := make([]ownRequest, callers)
 	firstAt := time.Now().Add(200 * time.Millisecond)
 	var wait sync.WaitGroup
@@ -41,7 +41,8 @@
 		})
 	}
 	time.Sleep(time.Until(firstAt.Add(sendingTime / 2)))
-	go p.useQuota(5 * time.Millisecond)
+	go p.useQuota(2 * time.Millisecond)
+	time.Sleep(50 * time.Millisecond)
 	stopAt := time.Now()
 	is.NoErr(p.command.Process.Signal(syscall.SIGTERM))
 	p.killAt(stopAt.Add(gracePeriod))
