A stop leaves an eighth of the grace period for its last responses

Change: the schedule of a stop is one value. Requests in progress end at 0.85 of the grace period, 5.1 s of 6 s, within its last sixth, and the process exits at 0.97, 5.82 s. The log is flushed for at most 100 ms, so that it also ends in time. The notice stays 2.7 s.

--- a/cmd/fuchsiastile/front.go
+++ b/cmd/fuchsiastile/front.go
@@ -20,7 +20,7 @@
 )
 
 // logFlushTimeout limits the time spent writing buffered log lines at exit.
-const logFlushTimeout = 200 * time.Millisecond
+const logFlushTimeout = 100 * time.Millisecond
 
 type frontCommand struct {
 	settings string
--- a/internal/responder/stop.go
+++ b/internal/responder/stop.go
@@ -10,6 +10,9 @@
 	// AnswerBy is when the requests in progress end with whatever answer they have. It is
 	// later than AcceptUntil.
 	AnswerBy time.Time
+	// ExitBy is when the process ends, with whatever is left. It is later than AnswerBy by
+	// the time in which the responses to those requests are sent.
+	ExitBy time.Time
 }
 
 // accepts reports whether a request that is complete now is executed. After AcceptUntil a
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -43,16 +43,6 @@
 type Error = failer.Error[Kind]
 
 const (
-	// lameDuckPeriod is how long a stopping daemon reports not ready but still
-	// accepts connections. The load balancer probes once a second and stops routing
-	// to a daemon after two failed probes.
-	lameDuckPeriod = 2700 * time.Millisecond
-	// stopMargin is subtracted from the platform's stop grace period, so that the
-	// process exits before the platform kills it.
-	stopMargin = 400 * time.Millisecond
-	// answerTime is the time before that in which the responses are sent to requests that
-	// the end of the grace period has ended.
-	answerTime = 200 * time.Millisecond
 	// settingsInterval is how often the settings file's modification time is
 	// checked, so that changes are detected without a signal too.
 	settingsInterval = 2 * time.Second
@@ -258,11 +248,8 @@
 // Stop begins a graceful stop; Run returns when it is complete.
 func (s *Supervisor) Stop() {
 	s.stopOnce.Do(func() {
-		now, answerWithin := time.Now(), s.settings.Load().Bounds.StopGracePeriod-stopMargin-answerTime
-		s.stop.Store(&responder.Stop{
-			AcceptUntil: now.Add(min(lameDuckPeriod, answerWithin/2)),
-			AnswerBy:    now.Add(answerWithin),
-		})
+		stop := newStop(time.Now(), s.settings.Load().Bounds.StopGracePeriod)
+		s.stop.Store(&stop)
 		close(s.stopRequested)
 	})
 }
@@ -332,7 +319,7 @@
 	s.scheduler.At(stop.AnswerBy, func(time.Time) { close(s.expired) })
 	s.follower.Leave()
 	scheduler.Sleep(ctx, time.Until(stop.AcceptUntil))
-	shutdownCtx, cancel := context.WithDeadline(ctx, stop.AnswerBy.Add(answerTime))
+	shutdownCtx, cancel := context.WithDeadline(ctx, stop.ExitBy)
 	defer cancel()
 	if err := s.callerServer.conns.Drain(shutdownCtx, s.connectionLimits().Head, stop.AnswerBy); err != nil {
 		klog.InfoS("requests still in flight when the stop grace period ended", "cause", err.Error(), "afterMillis", time.Since(stopStart).Milliseconds())
