--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -43,16 +43,6 @@
 type Error = failer.Error[Kind]
 
 const (
-	// lameDuckPeriod is how long a stopping daemon reports not ready but still
-	// accepts connections. The load balancer probes once a second and stops routing
-	// to a daemon after two failed probes.
-	lameDuckPeriod = 2700 * time.Millisecond
-	// stopMargin is subtracted from the platform's stop grace period, so that the
-	// process exits before the platform kills it.
-	stopMargin = 400 * time.Millisecond
-	// answerTime is the time before that in which the responses are sent to requests that
-	// the end of the grace period has ended.
-	answerTime = 200 * time.Millisecond
 	// settingsInterval is how often the settings file's modification time is
 	// checked, so that changes are detected without a signal too.
 	settingsInterval = 2 * time.Second
@@ -263,24 +253,16 @@
 // Stop begins a graceful stop; Run returns when it is complete.
 func (s *Supervisor) Stop() {
 	s.stopOnce.Do(func() {
-		now := time.Now()
-		accept, answer := s.stopPeriods()
-		s.stop.Store(&responder.Stop{AcceptUntil: now.Add(accept), AnswerBy: now.Add(answer)})
+		stop := newStop(time.Now(), s.settings.Load().Bounds.StopGracePeriod)
+		s.stop.Store(&stop)
 		close(s.stopRequested)
 	})
 }
 
-// stopPeriods returns how long a stopping daemon accepts connections and by when it answers,
-// both from the beginning of the stop.
-func (s *Supervisor) stopPeriods() (accept, answer time.Duration) {
-	answer = s.settings.Load().Bounds.StopGracePeriod - stopMargin - answerTime
-	return min(lameDuckPeriod, answer/2), answer
-}
-
 // announcement returns for how long callers may reuse their connections.
 func (s *Supervisor) announcement() acceptor.Announcement {
-	accept, _ := s.stopPeriods()
-	return acceptor.Announcement{Idle: s.connectionLimits().Idle, Notice: accept, Closing: s.stop.Load() != nil}
+	notice := noticePeriod(s.settings.Load().Bounds.StopGracePeriod)
+	return acceptor.Announcement{Idle: s.connectionLimits().Idle, Notice: notice, Closing: s.stop.Load() != nil}
 }
 
 // Kill makes Run return without a graceful stop, as after a crash.
@@ -348,7 +330,7 @@
 	s.scheduler.At(stop.AnswerBy, func(time.Time) { close(s.expired) })
 	s.follower.Leave()
 	scheduler.Sleep(ctx, time.Until(stop.AcceptUntil))
-	shutdownCtx, cancel := context.WithDeadline(ctx, stop.AnswerBy.Add(answerTime))
+	shutdownCtx, cancel := context.WithDeadline(ctx, stop.ExitBy)
 	defer cancel()
 	if err := s.callerServer.conns.Drain(shutdownCtx, s.connectionLimits().Head, stop.AnswerBy); err != nil {
 		klog.InfoS("requests still in flight when the stop grace period ended", "cause", err.Error(), "afterMillis", time.Since(stopStart).Milliseconds())
