--- a/internal/responder/mixture_test.go
+++ b/internal/responder/mixture_test.go
@@ -124,7 +124,7 @@
 		Settings: platform.Settings{IP: "127.0.0.1", FailureDomain: "a", Region: "r", Bounds: platform.Bounds{RetryBudgetRatio: 0.2, RetryBudgetSlack: 126, RetryBudgetWindow: time.Second}},
 		Network:  dialer.Network{Dial: (&net.Dialer{}).DialContext}, Scheduler: timers,
 		State: func() *follower.State { return states[(reads.Add(1)*2654435761>>7)%uint64(len(states))] },
-		Ready: ready, Stop: func() *responder.Stop { return nil },
+		Ready: ready, Stop: func() *responder.Stop { return nil }, Announce: func(context.Context, http.Header) {},
 		OnDisplaced: func(string) {}, SendReport: func([]reporter.Observation) bool { return true }, SendSummary: func(reporter.Summary) {},
 		Metrics: responder.NewMetrics(vm.NewSet()), Rand: rand.New(rand.NewPCG(mixtureSeed, 1)),
 	})
