An error is logged once

Cause: klog writes a line of an error to the output of each lower severity, too, which are all the same here: each line stood up to four times in the log and used up the limit of its volume, also the part that is reserved for errors. Change: klog writes each line to one output only.

--- a/cmd/fuchsiastile/front.go
+++ b/cmd/fuchsiastile/front.go
@@ -55,8 +55,9 @@
 	signal.Notify(reloads, syscall.SIGHUP)
 	log := logger.New(os.Stdout)
 	defer log.Close(logFlushTimeout)
-	klog.LogToStderr(false)
-	klog.SetOutput(log)
+	if err := logger.Attach(log); err != nil {
+		return fail(err)
+	}
 	defer klog.Flush()
 	s, err := supervisor.New(supervisor.Config{
 		SettingsFile:     c.settings,
