A close does not wait for a read in progress, and the counts of requests are exact

An answer whose last write blocked as the server closed counted as given, one to an HTTP/1.0 caller as cut, and a request could begin twice on a closed connection.

--- a/internal/acceptor/acceptor_test.go
+++ b/internal/acceptor/acceptor_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -25,6 +26,8 @@
 	*Acceptor
 	is *is.I
 	mu sync.Mutex
+	// dialled keeps the callers' ends of connections from being closed as unused.
+	dialled []net.Conn
 	// cuts holds the reports of cut requests.
 	cuts []Cut
 	// ran holds the paths of the requests that were handled.
@@ -61,6 +64,12 @@
 			Announce(r.Context(), w.Header(), Announcement{Idle: 4 * time.Second, Notice: 2 * time.Second})
 		case "/closing":
 			Announce(r.Context(), w.Header(), Announcement{Idle: time.Minute, Notice: time.Minute, Closing: true})
+		case "/long":
+			_, _ = w.Write(make([]byte, 64<<20))
+		case "/early":
+			w.WriteHeader(http.StatusNotFound)
+			_ = http.NewResponseController(w).Flush()
+			_, _ = io.Copy(io.Discard, r.Body)
 		case "/abort":
 			panic(http.ErrAbortHandler)
 		}
@@ -125,12 +134,16 @@
 	reader *bufio.Reader
 }
 
-// dial opens a connection and waits until the acceptor has it.
+// dial opens a connection, which stays open until the test ends, and waits until the acceptor
+// has it.
 func (s *served) dial() *client {
-	before := len(s.openConns())
 	conn, err := net.Dial("tcp", s.Addr().String())
 	s.is.NoErr(err)
-	for len(s.openConns()) == before {
+	s.mu.Lock()
+	s.dialled = append(s.dialled, conn)
+	s.mu.Unlock()
+	isOwn := func(c *Conn) bool { return c.RemoteAddr().String() == conn.LocalAddr().String() }
+	for !slices.ContainsFunc(s.openConns(), isOwn) {
 		time.Sleep(time.Millisecond)
 	}
 	return &client{Conn: conn, is: s.is, reader: bufio.NewReader(conn)}
@@ -555,6 +568,52 @@
 	s.is.Equal(len(s.cutCauses()), 3)
 }
 
+// TestBlockedAnswersAreCuts guards against counting an answer that the server's close breaks
+// off, because its caller reads slowly, as a whole one.
+func TestBlockedAnswersAreCuts(t *testing.T) {
+	t.Parallel()
+	s := serve(t, true)
+	c := s.dial()
+	s.is.NoErr(c.Conn.(*net.TCPConn).SetReadBuffer(4 << 10))
+	c.send(strings.Replace(request, "/", "/long", 1))
+	s.awaitPhases(0, 0, 1)
+	time.Sleep(stayWait)
+	for _, conn := range s.openConns() {
+		s.is.NoErr(conn.Close())
+	}
+	s.is.Equal(s.awaitEnded(1), Counts{Begun: 1, Ended: map[Outcome]int{OutcomeCut: 1}})
+}
+
+// TestAnswersOfHTTP10AreCounted guards against taking answers to callers that speak HTTP/1.0
+// for cuts.
+func TestAnswersOfHTTP10AreCounted(t *testing.T) {
+	t.Parallel()
+	s := serve(t, false)
+	c := s.dial()
+	c.send(strings.Replace(request, "HTTP/1.1", "HTTP/1.0", 1))
+	c.awaitAnswer(http.StatusOK)
+	s.is.Equal(s.awaitEnded(1), Counts{Begun: 1, Ended: map[Outcome]int{OutcomeAnswered: 1}})
+}
+
+// TestCloseBesideReadDoesNotWait guards against a close that waits for a read in progress,
+// which nothing ends: a stop did not end beside a body that stalled.
+func TestCloseBesideReadDoesNotWait(t *testing.T) {
+	t.Parallel()
+	s := serve(t, true)
+	c := s.dial()
+	c.send("POST /early HTTP/1.1\r\nHost: tier.example\r\nContent-Length: 10\r\n\r\n")
+	s.awaitPhases(0, 0, 1)
+	time.Sleep(stayWait)
+	closed := make(chan error, 1)
+	go func() { closed <- s.openConns()[0].Close() }()
+	select {
+	case err := <-closed:
+		s.is.NoErr(err)
+	case <-time.After(closeWait):
+		t.Fatal("the close waits")
+	}
+}
+
 // TestAnnouncedConnectionsStayOpen guards against closing a connection that its caller may
 // still use according to the last response, at a lowered limit or in a stop.
 func TestAnnouncedConnectionsStayOpen(t *testing.T) {
--- a/internal/acceptor/conn.go
+++ b/internal/acceptor/conn.go
@@ -72,6 +72,8 @@
 	isOpen bool
 	// isHandled is set while the HTTP handler runs, and stays set if it panics.
 	isHandled bool
+	// writing is the number of calls of Write in progress.
+	writing int
 	// status is that of the response to the open request, 0 until its head is written; written
 	// is how many of its bytes were. writeErr is the first error of writing them.
 	status, written int
@@ -111,8 +113,8 @@
 	return n, err
 }
 
-// readAvailable reads what has arrived, without waiting; it returns 0 if nothing has. The
-// caller holds mu.
+// readAvailable reads what has arrived, without waiting; it returns 0 if nothing has. It
+// does not wait for a Read in progress, whose caller may hold mu next.
 func (c *Conn) readAvailable(p []byte) int {
 	conn, ok := c.Conn.(syscall.Conn)
 	if !ok {
@@ -123,13 +125,7 @@
 		return 0
 	}
 	n := 0
-	// A raw connection cannot be read after its deadline.
-	_ = c.Conn.SetReadDeadline(time.Time{})
-	_ = raw.Read(func(fd uintptr) bool {
-		n, _ = syscall.Read(int(fd), p)
-		return true
-	})
-	_ = c.Conn.SetReadDeadline(pastDeadline)
+	_ = raw.Control(func(fd uintptr) { n, _ = syscall.Read(int(fd), p) })
 	return max(0, n)
 }
 
@@ -189,18 +185,18 @@
 
 // parseStatus returns the status of a response that begins with p.
 func parseStatus(p []byte) (int, bool) {
-	const prefix = "HTTP/1.1 "
-	if len(p) < len(prefix)+3 || string(p[:len(prefix)]) != prefix {
+	const prefix, digits = "HTTP/1.1 ", 3
+	if len(p) < len(prefix)+digits || string(p[:len("HTTP/1.")]) != "HTTP/1." {
 		return 0, false
 	}
-	status, err := strconv.Atoi(string(p[len(prefix) : len(prefix)+3]))
+	status, err := strconv.Atoi(string(p[len(prefix) : len(prefix)+digits]))
 	return status, err == nil
 }
 
 // setPhase begins a phase. The caller holds mu.
 func (c *Conn) setPhase(next phase, now time.Time) {
 	c.phase, c.phaseSince = next, now
-	if next == phaseWaiting || c.isOpen {
+	if next == phaseWaiting || c.isOpen || c.closed {
 		return
 	}
 	c.isOpen = true
@@ -222,7 +218,7 @@
 // outcome returns the outcome of the open request if it ends now. The HTTP server writes the
 // whole response unless the handler panics or a write fails. The caller holds mu.
 func (c *Conn) outcome() Outcome {
-	isWhole := c.status >= http.StatusOK && !c.isHandled && c.writeErr == nil
+	isWhole := c.status >= http.StatusOK && !c.isHandled && c.writing == 0 && c.writeErr == nil
 	switch {
 	case isWhole && isRefusal(c.status):
 		return OutcomeRefused
@@ -312,10 +308,12 @@
 		return len(p), nil
 	}
 	c.unanswered = 0
+	c.writing++
 	c.mu.Unlock()
 	n, err := c.Conn.Write(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.writing--
 	c.recordWrite(p, n, err)
 	return n, err
 }
